--- /dev/null
+++ b/src/checked/table.rs
@@ -0,0 +1,275 @@
+//! A table under strict reading: unread fields are findings.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+
+use toml::de::{DeTable, DeValue};
+
+use super::Findings;
+use crate::wire::Finding;
+
+/// The text that is read, with what was found in it so far.
+#[derive(Debug)]
+pub(super) struct Source<'t> {
+    text: &'t str,
+    findings: RefCell<Vec<Finding>>,
+}
+
+impl<'t> Source<'t> {
+    pub(super) fn new(text: &'t str) -> Self {
+        Self {
+            text,
+            findings: RefCell::default(),
+        }
+    }
+
+    /// Records a finding at the byte offset `at`.
+    pub(super) fn report(&self, at: usize, field: &str, message: &str) {
+        let before = &self.text[..at.min(self.text.len())];
+        let line = before.matches('\n').count() + 1;
+        let start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        let column = before[start..].chars().count() + 1;
+        self.findings.borrow_mut().push(Finding {
+            line: u32::try_from(line).unwrap_or(u32::MAX),
+            column: u32::try_from(column).unwrap_or(u32::MAX),
+            field: field.to_owned(),
+            message: message.to_owned(),
+        });
+    }
+
+    pub(super) fn into_findings(self) -> Findings {
+        let mut findings = self.findings.into_inner();
+        findings.sort_by_key(|finding| (finding.line, finding.column));
+        Findings(findings)
+    }
+}
+
+/// One table. Fields that were not read when it is dropped are reported as unknown.
+#[derive(Debug)]
+pub struct Table<'t> {
+    source: &'t Source<'t>,
+    path: String,
+    start: usize,
+    items: &'t DeTable<'t>,
+    seen: RefCell<BTreeSet<String>>,
+}
+
+impl<'t> Table<'t> {
+    pub(super) fn root(source: &'t Source<'t>, items: &'t DeTable<'t>) -> Self {
+        Self::new(source, String::new(), 0, items)
+    }
+
+    fn new(source: &'t Source<'t>, path: String, start: usize, items: &'t DeTable<'t>) -> Self {
+        Self {
+            source,
+            path,
+            start,
+            items,
+            seen: RefCell::default(),
+        }
+    }
+
+    /// The full name of a field, such as `pools[0].zones`.
+    fn field(&self, key: &str) -> String {
+        if self.path.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{}.{key}", self.path)
+        }
+    }
+
+    /// Reports a finding at the field `key`, or at the table when the field is missing.
+    pub fn report(&self, key: &str, message: &str) {
+        let at = self
+            .items
+            .get(key)
+            .map_or(self.start, |value| value.span().start);
+        self.source.report(at, &self.field(key), message);
+    }
+
+    fn get(&self, key: &str) -> Option<&'t DeValue<'t>> {
+        self.seen.borrow_mut().insert(key.to_owned());
+        self.items.get(key).map(toml::Spanned::get_ref)
+    }
+
+    fn wrong_type(&self, key: &str, expected: &str, value: &DeValue<'_>) {
+        let found = value.type_str();
+        self.report(key, &format!("expected {expected}, found {found}"));
+    }
+
+    fn missing(&self, key: &str, expected: &str) {
+        self.report(key, &format!("missing: expected {expected}"));
+    }
+
+    /// An optional text.
+    #[must_use]
+    pub fn text_opt(&self, key: &str) -> Option<String> {
+        let value = self.get(key)?;
+        let text = value.as_str();
+        if text.is_none() {
+            self.wrong_type(key, "a text", value);
+        }
+        text.map(str::to_owned)
+    }
+
+    /// A text that must be there and must not be empty; empty when it is not.
+    #[must_use]
+    pub fn text(&self, key: &str) -> String {
+        if self.get(key).is_none() {
+            self.missing(key, "a text");
+        }
+        let text = self.text_opt(key).unwrap_or_default();
+        if text.is_empty()
+            && self
+                .items
+                .get(key)
+                .is_some_and(|value| value.get_ref().is_str())
+        {
+            self.report(key, "must not be empty");
+        }
+        text
+    }
+
+    /// An optional whole number within `range`.
+    #[must_use]
+    pub fn number_opt(&self, key: &str, range: &RangeInclusive<u64>) -> Option<u64> {
+        let value = self.get(key)?;
+        let Some(integer) = value.as_integer() else {
+            self.wrong_type(key, "a whole number", value);
+            return None;
+        };
+        let number = u64::from_str_radix(integer.as_str(), integer.radix()).ok();
+        let inside = number.filter(|number| range.contains(number));
+        if inside.is_none() {
+            let (low, high) = (range.start(), range.end());
+            let found = integer.as_str();
+            self.report(key, &format!("expected {low} to {high}, found {found}"));
+        }
+        inside
+    }
+
+    /// A whole number that must be there; the range's start when it is not.
+    #[must_use]
+    pub fn number(&self, key: &str, range: &RangeInclusive<u64>) -> u64 {
+        if self.get(key).is_none() {
+            let (low, high) = (range.start(), range.end());
+            self.missing(key, &format!("a whole number, {low} to {high}"));
+        }
+        self.number_opt(key, range).unwrap_or(*range.start())
+    }
+
+    /// A whole number with a default.
+    #[must_use]
+    pub fn number_or(&self, key: &str, default: u64, range: &RangeInclusive<u64>) -> u64 {
+        self.number_opt(key, range).unwrap_or(default)
+    }
+
+    /// True or false, with a default.
+    #[must_use]
+    pub fn flag_or(&self, key: &str, default: bool) -> bool {
+        let Some(value) = self.get(key) else {
+            return default;
+        };
+        let flag = value.as_bool();
+        if flag.is_none() {
+            self.wrong_type(key, "true or false", value);
+        }
+        flag.unwrap_or(default)
+    }
+
+    /// One of a closed set of words, with a default.
+    #[must_use]
+    pub fn choice_or<T: Copy>(&self, key: &str, default: T, choices: &[(&str, T)]) -> T {
+        let Some(word) = self.text_opt(key) else {
+            return default;
+        };
+        let found = choices.iter().find(|(name, _)| *name == word);
+        if found.is_none() {
+            let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
+            let names = names.join(", ");
+            self.report(key, &format!("expected one of {names}; found {word}"));
+        }
+        found.map_or(default, |(_, value)| *value)
+    }
+
+    /// A list of texts; empty when it is not there.
+    #[must_use]
+    pub fn texts(&self, key: &str) -> Vec<String> {
+        let Some(value) = self.get(key) else {
+            return Vec::new();
+        };
+        let Some(array) = value.as_array() else {
+            self.wrong_type(key, "a list of texts", value);
+            return Vec::new();
+        };
+        let mut texts = Vec::new();
+        for item in array {
+            match item.get_ref().as_str() {
+                Some(text) => texts.push(text.to_owned()),
+                None => self.wrong_type(key, "a list of texts", item.get_ref()),
+            }
+        }
+        texts
+    }
+
+    /// A table inside this one.
+    #[must_use]
+    pub fn table_opt(&self, key: &str) -> Option<Table<'t>> {
+        let value = self.get(key)?;
+        let start = self
+            .items
+            .get(key)
+            .map_or(0, |spanned| spanned.span().start);
+        let Some(items) = value.as_table() else {
+            self.wrong_type(key, "a table", value);
+            return None;
+        };
+        Some(Self::new(self.source, self.field(key), start, items))
+    }
+
+    /// A table that must be there.
+    #[must_use]
+    pub fn table(&self, key: &str) -> Option<Table<'t>> {
+        if self.get(key).is_none() {
+            self.missing(key, "a table");
+        }
+        self.table_opt(key)
+    }
+
+    /// A list of tables; empty when it is not there.
+    #[must_use]
+    pub fn tables(&self, key: &str) -> Vec<Table<'t>> {
+        let Some(value) = self.get(key) else {
+            return Vec::new();
+        };
+        let Some(array) = value.as_array() else {
+            self.wrong_type(key, "a list of tables", value);
+            return Vec::new();
+        };
+        let mut tables = Vec::new();
+        for (n, item) in array.iter().enumerate() {
+            let path = format!("{}[{n}]", self.field(key));
+            match item.get_ref().as_table() {
+                Some(items) => {
+                    tables.push(Self::new(self.source, path, item.span().start, items));
+                }
+                None => self.wrong_type(key, "a list of tables", item.get_ref()),
+            }
+        }
+        tables
+    }
+}
+
+impl Drop for Table<'_> {
+    fn drop(&mut self) {
+        let seen = self.seen.borrow();
+        for (key, _) in self.items {
+            let name: &str = key.get_ref();
+            if !seen.contains(name) {
+                let at = key.span().start;
+                self.source.report(at, &self.field(name), "unknown field");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/key.rs
@@ -0,0 +1,134 @@
+//! `basillead key`: grants, withdraws and lists keys.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use super::remote::{self, Remote};
+use super::{CmdError, EXIT_REFUSED};
+use crate::entry::{KEY_DIGITS, KEY_PREFIX};
+use crate::names::KeyDigest;
+use crate::util::random_id;
+use crate::wire::{ConfigBody, Status};
+
+/// Grants, withdraws or lists keys.
+#[derive(Debug, Options)]
+pub(super) struct Args {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(command, required)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "make a key for a tenant; the key is shown once")]
+    Grant(Grant),
+    #[options(help = "withdraw a key for good")]
+    Withdraw(Withdraw),
+    #[options(help = "list keys by digest")]
+    List(List),
+}
+
+#[derive(Debug, Options)]
+struct Grant {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(help = "base URL of a control daemon", required, meta = "URL")]
+    control: String,
+    #[options(help = "file with the operator's key", required, meta = "FILE")]
+    key_file: PathBuf,
+    #[options(help = "the tenant", required)]
+    tenant: String,
+    #[options(help = "a name for the key", default = "")]
+    label: String,
+}
+
+#[derive(Debug, Options)]
+struct Withdraw {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(help = "base URL of a control daemon", required, meta = "URL")]
+    control: String,
+    #[options(help = "file with the operator's key", required, meta = "FILE")]
+    key_file: PathBuf,
+    #[options(free, required, help = "the key's digest, as `list` shows it")]
+    digest: String,
+}
+
+#[derive(Debug, Options)]
+struct List {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(help = "base URL of a control daemon", required, meta = "URL")]
+    control: String,
+    #[options(help = "file with the operator's key", required, meta = "FILE")]
+    key_file: PathBuf,
+    #[options(help = "print the answer as JSON")]
+    json: bool,
+}
+
+pub(super) fn run(args: &Args) -> Result<ExitCode, CmdError> {
+    match &args.command {
+        Some(Command::Grant(grant)) => grant.run(),
+        Some(Command::Withdraw(withdraw)) => withdraw.run(),
+        Some(Command::List(list)) => list.run(),
+        None => Err("key: expected grant, withdraw or list".into()),
+    }
+}
+
+fn publish(control: &str, key_file: &Path, body: ConfigBody) -> Result<bool, CmdError> {
+    let published = Remote::new(control, key_file)?.publish(body)?;
+    Ok(remote::show(&published))
+}
+
+impl Grant {
+    fn run(&self) -> Result<ExitCode, CmdError> {
+        let digits = random_id() + &random_id();
+        let key = format!("{KEY_PREFIX}{}", &digits[..KEY_DIGITS]);
+        let body = ConfigBody::KeyGrant {
+            digest: KeyDigest::of(&key).to_string(),
+            label: self.label.clone(),
+            tenant: self.tenant.clone(),
+        };
+        if !publish(&self.control, &self.key_file, body)? {
+            return Ok(ExitCode::from(EXIT_REFUSED));
+        }
+        println!("key: {key}");
+        Ok(ExitCode::SUCCESS)
+    }
+}
+
+impl Withdraw {
+    fn run(&self) -> Result<ExitCode, CmdError> {
+        let body = ConfigBody::KeyWithdraw {
+            digest: self.digest.clone(),
+        };
+        if publish(&self.control, &self.key_file, body)? {
+            Ok(ExitCode::SUCCESS)
+        } else {
+            Ok(ExitCode::from(EXIT_REFUSED))
+        }
+    }
+}
+
+impl List {
+    fn run(&self) -> Result<ExitCode, CmdError> {
+        let remote = Remote::new(&self.control, &self.key_file)?;
+        let status: Status = remote.get("/operator/status")?;
+        if self.json {
+            println!("{}", serde_json::to_string(&status.keys)?);
+            return Ok(ExitCode::SUCCESS);
+        }
+        for key in &status.keys {
+            let state = if key.withdrawn {
+                "withdrawn"
+            } else {
+                "granted"
+            };
+            println!("{} {} {state} {}", key.digest, key.tenant, key.label);
+        }
+        Ok(ExitCode::SUCCESS)
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,67 @@
+//! The operators' command line: one file a subcommand.
+//!
+//! Exit statuses: 0 done, 1 failed, 2 wrong usage, 3 refused by basillead.
+
+mod check;
+pub mod daemon;
+mod key;
+mod publish;
+mod remote;
+mod status;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+/// Exit status of a wrong command line.
+const EXIT_USAGE: u8 = 2;
+/// Exit status of a request that basillead refused.
+pub(crate) const EXIT_REFUSED: u8 = 3;
+
+/// The error of a subcommand: any cause, shown on one line or more.
+pub(crate) type CmdError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Operates basillead.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "check a manifest or settings file; nothing is sent")]
+    Check(check::Args),
+    #[options(help = "publish a manifest and wait for the verdict")]
+    Publish(publish::Args),
+    #[options(help = "grant, withdraw or list keys")]
+    Key(key::Args),
+    #[options(help = "show daemons, servers, keys and rounds")]
+    Status(status::Args),
+}
+
+/// Parses the command line and runs the subcommand that it names.
+#[must_use]
+pub fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let Some(command) = args.command else {
+        eprintln!("Usage: basillead COMMAND [OPTIONS]\n\n{}", Args::usage());
+        eprintln!("\nCommands:\n{}", Args::command_list().unwrap_or_default());
+        return ExitCode::from(EXIT_USAGE);
+    };
+    let done = match command {
+        Command::Check(args) => check::run(&args),
+        Command::Publish(args) => publish::run(&args),
+        Command::Key(args) => key::run(&args),
+        Command::Status(args) => status::run(&args),
+    };
+    done.unwrap_or_else(|error| fail(&*error))
+}
+
+/// Writes an error to standard error; the exit status of a failure.
+pub(crate) fn fail(error: &dyn std::error::Error) -> ExitCode {
+    eprintln!("{error}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/src/cmd/remote.rs
@@ -0,0 +1,118 @@
+//! Calls of the operators' interface of a control daemon.
+
+use std::path::Path;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, header};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::CmdError;
+use crate::http::Client;
+use crate::names::Secret;
+use crate::util::random_id;
+use crate::wire::{ConfigBody, ConfigRecord, Problem, Published, Verdict};
+
+/// Time within which the control daemon must answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Calls that are tried when an answer is lost.
+const ATTEMPTS: usize = 3;
+
+/// A control daemon and the operator's key.
+#[derive(Debug)]
+pub(super) struct Remote {
+    url: String,
+    key: Secret,
+    runtime: tokio::runtime::Runtime,
+    client: Client,
+}
+
+impl Remote {
+    /// The control daemon at `url`, with the key in a file.
+    pub(super) fn new(url: &str, key_file: &Path) -> Result<Self, CmdError> {
+        let read = std::fs::read_to_string(key_file);
+        let text = read.map_err(|error| format!("{}: {error}", key_file.display()))?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        Ok(Self {
+            url: url.trim_end_matches('/').to_owned(),
+            key: Secret::new(&text),
+            runtime,
+            client: Client::new(),
+        })
+    }
+
+    /// Reads a page.
+    pub(super) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, CmdError> {
+        self.call(Method::GET, path, &())
+    }
+
+    /// Publishes a record. Repeats after lost answers carry the same id.
+    pub(super) fn publish(&self, body: ConfigBody) -> Result<Published, CmdError> {
+        let record = ConfigRecord {
+            body,
+            id: random_id(),
+        };
+        let mut attempt = 1;
+        loop {
+            let published = self.call(Method::POST, "/operator/records", &record);
+            if published.is_ok() || attempt == ATTEMPTS {
+                return published;
+            }
+            attempt += 1;
+        }
+    }
+
+    fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, CmdError> {
+        let url = format!("{}{path}", self.url);
+        let request = Request::builder()
+            .method(method)
+            .uri(&url)
+            .header(
+                header::AUTHORIZATION,
+                format!("Bearer {}", self.key.reveal()),
+            )
+            .body(Bytes::from(serde_json::to_vec(body)?))?;
+        let fetched = self.client.fetch(request, CALL_TIMEOUT);
+        let answer = self.runtime.block_on(fetched);
+        let answer = answer.map_err(|error| format!("{url}: {error}"))?;
+        if answer.status().is_success() {
+            return Ok(serde_json::from_slice(answer.body())?);
+        }
+        let detail = match serde_json::from_slice::<Problem>(answer.body()) {
+            Ok(problem) => format!("{}: {} ({})", problem.title, problem.detail, problem.run),
+            Err(_) => answer.status().to_string(),
+        };
+        Err(format!("{url}: {detail}").into())
+    }
+}
+
+/// Shows a verdict to a person; returns whether the record took effect.
+pub(super) fn show(published: &Published) -> bool {
+    let (holding, listed) = (published.holding, published.listed);
+    match &published.verdict {
+        Verdict::Accepted { revision, .. } => {
+            println!("accepted: revision {revision}, in force on {holding} of {listed} daemons");
+            true
+        }
+        Verdict::Conflict { base, revision } => {
+            eprintln!("conflict: base is {base}, but revision {revision} is in force");
+            false
+        }
+        Verdict::Invalid { findings } => {
+            eprintln!("invalid:\n{}", crate::checked::Findings(findings.clone()));
+            false
+        }
+        Verdict::Ignored { reason } => {
+            eprintln!("nothing changed: {reason}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,52 @@
+//! `basillead status`: what is in force, and where.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use super::CmdError;
+use super::remote::Remote;
+use crate::wire::Status;
+
+/// Shows the revision in force, daemons, backend servers and rounds.
+#[derive(Debug, Options)]
+pub(super) struct Args {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(help = "base URL of a control daemon", required, meta = "URL")]
+    control: String,
+    #[options(help = "file with the operator's key", required, meta = "FILE")]
+    key_file: PathBuf,
+    #[options(help = "print the answer as JSON")]
+    json: bool,
+}
+
+pub(super) fn run(args: &Args) -> Result<ExitCode, CmdError> {
+    let remote = Remote::new(&args.control, &args.key_file)?;
+    let status: Status = remote.get("/operator/status")?;
+    if args.json {
+        println!("{}", serde_json::to_string(&status)?);
+    } else {
+        show(&status);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn show(status: &Status) {
+    println!("revision {} ({})", status.revision, status.manifest);
+    for daemon in &status.daemons {
+        let fresh = if daemon.fresh { "fresh" } else { "not fresh" };
+        let leaving = if daemon.leaving { " leaving" } else { "" };
+        println!(
+            "{} {} {} revision {} {fresh}{leaving}",
+            daemon.instance, daemon.daemon, daemon.zone, daemon.revision
+        );
+    }
+    for server in &status.servers {
+        println!(
+            "{} {} {} {} {}",
+            server.id, server.pool, server.zone, server.price, server.state
+        );
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,64 @@
+//! The control daemon: the operators' and the platform's side.
+
+mod operator;
+mod serve;
+
+use std::sync::Arc;
+
+use crate::edge::{HttpLog, HttpServers};
+use crate::http::{Client, Server};
+use crate::log::ConfigLog;
+use crate::names::Incarnation;
+use crate::settings::Settings;
+use crate::telemetry::Metrics;
+
+/// All state of one control daemon.
+#[derive(Debug)]
+pub struct Control {
+    settings: Settings,
+    incarnation: Incarnation,
+    config: Arc<ConfigLog>,
+    servers: HttpServers,
+    metrics: Metrics,
+}
+
+impl Control {
+    /// A control daemon that has read nothing yet.
+    ///
+    /// # Errors
+    /// Its metrics cannot be set up.
+    pub fn new(settings: Settings) -> std::io::Result<Self> {
+        let client = Client::new();
+        let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
+        Ok(Self {
+            incarnation: Incarnation::random(),
+            config: Arc::new(ConfigLog::new(log)),
+            servers: HttpServers::new(&client, &settings.platform.servers),
+            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            settings,
+        })
+    }
+
+    /// Runs until the process is told to stop.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn run(self) -> std::io::Result<()> {
+        let control = Arc::new(self);
+        let config = Arc::clone(&control.config);
+        tokio::spawn(async move { config.follow().await });
+        let address = control.settings.control.http;
+        let threads = control.settings.threads;
+        let state = Arc::clone(&control);
+        let server = Server::start(address, threads, move |request| {
+            serve::answer(Arc::clone(&state), request)
+        })?;
+        spdlog::info!("control started", kv: {
+            address = address.to_string(),
+            incarnation = control.incarnation.to_string(),
+        });
+        crate::util::stop_signal().await?;
+        drop(server);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/control/serve.rs
@@ -0,0 +1,57 @@
+//! Finds the page of a request and answers it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Method, StatusCode};
+use xitca_web::body::RequestBody;
+
+use crate::entry::bearer;
+use crate::http::{Refusal, RefusalKind, Request, Response, whole};
+
+use super::{Control, operator};
+
+/// Answers one request.
+pub(super) async fn answer(control: Arc<Control>, request: Request) -> Response {
+    let (head, body) = request.into_parts();
+    let (_, body) = body.replace_body(());
+    let answered = dispatch(&control, &head, body).await;
+    answered.unwrap_or_else(|refusal| refusal.response())
+}
+
+async fn dispatch(
+    control: &Arc<Control>,
+    head: &Parts,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, "/healthz") => Ok(whole(StatusCode::OK, "text/plain", Bytes::from("ok\n"))),
+        (&Method::GET, "/metrics") => {
+            let text = Bytes::from(control.metrics.text());
+            Ok(whole(StatusCode::OK, "text/plain; version=0.0.4", text))
+        }
+        (&Method::POST, "/operator/records") => {
+            check_operator(control, head)?;
+            operator::records(control, body).await
+        }
+        (&Method::GET, "/operator/status") => {
+            check_operator(control, head)?;
+            operator::status(control).await
+        }
+        (method, path) => {
+            let detail = format!("no page for {method} {path}");
+            Err(Refusal::not_run(RefusalKind::NotFound, detail))
+        }
+    }
+}
+
+/// Refuses a call without the operator's key.
+fn check_operator(control: &Control, head: &Parts) -> Result<(), Refusal> {
+    let key = bearer(&head.headers)?;
+    if control.settings.operator_key.is(key) {
+        return Ok(());
+    }
+    let detail = "this is not the operator's key";
+    Err(Refusal::not_run(RefusalKind::KeyInvalid, detail))
+}
--- /dev/null
+++ b/src/edge/http_platform.rs
@@ -0,0 +1,183 @@
+//! HTTP clients of the platform's interfaces, with JSON bodies.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
+use http::{Method, Request};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt as _;
+
+use super::{
+    CallSnafu, EdgeResult, Instances, Log, MalformedSnafu, RefusedSnafu, Servers, Stream, UsageSink,
+};
+use crate::http::Client;
+use crate::wire::{Appended, Instance, LogPage, Order, OrderResult, ServerList, UsageReport};
+
+/// Time within which the platform must answer, besides time it was asked to wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// One interface's base URL and the client that calls it.
+#[derive(Clone, Debug)]
+struct Base {
+    url: String,
+    client: Client,
+}
+
+impl Base {
+    fn new(client: &Client, url: &str) -> Self {
+        Self {
+            url: url.trim_end_matches('/').to_owned(),
+            client: client.clone(),
+        }
+    }
+
+    /// Calls `path` below the base URL and parses the answer.
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+        timeout: Duration,
+    ) -> EdgeResult<T> {
+        let url = format!("{}{path}", self.url);
+        let request = Request::builder()
+            .method(method)
+            .uri(&url)
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Bytes::from(body));
+        let request = request.map_err(crate::http::ClientError::malformed);
+        let request = request.context(CallSnafu { url: &url })?;
+        let answer = self.client.fetch(request, timeout).await;
+        let answer = answer.context(CallSnafu { url: &url })?;
+        let status = answer.status();
+        if !status.is_success() {
+            let detail = String::from_utf8_lossy(answer.body()).into_owned();
+            let status = status.as_u16();
+            return RefusedSnafu {
+                url,
+                status,
+                detail,
+            }
+            .fail();
+        }
+        serde_json::from_slice(answer.body()).context(MalformedSnafu { url })
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> EdgeResult<T> {
+        self.call(Method::GET, path, String::new(), CALL_TIMEOUT)
+            .await
+    }
+
+    async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> EdgeResult<T> {
+        let url = &self.url;
+        let body = serde_json::to_string(body).context(MalformedSnafu { url })?;
+        self.call(Method::POST, path, body, CALL_TIMEOUT).await
+    }
+}
+
+/// The log service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpLog(Base);
+
+impl HttpLog {
+    /// A client of the log service at `url`.
+    #[must_use]
+    pub fn new(client: &Client, url: &str) -> Self {
+        Self(Base::new(client, url))
+    }
+}
+
+impl Log for HttpLog {
+    fn append(&self, stream: Stream, record: String) -> BoxFuture<'_, EdgeResult<u64>> {
+        async move {
+            let path = format!("/{stream}");
+            let appended = self
+                .0
+                .call::<Appended>(Method::POST, &path, record, CALL_TIMEOUT);
+            Ok(appended.await?.offset)
+        }
+        .boxed()
+    }
+
+    fn read(
+        &self,
+        stream: Stream,
+        from: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, EdgeResult<LogPage>> {
+        async move {
+            let millis = wait.as_millis();
+            let path = format!("/{stream}?from={from}&wait_ms={millis}");
+            let timeout = CALL_TIMEOUT + wait;
+            self.0
+                .call(Method::GET, &path, String::new(), timeout)
+                .await
+        }
+        .boxed()
+    }
+}
+
+/// The instance list over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpInstances(Base);
+
+impl HttpInstances {
+    /// A client of the instance list at `url`.
+    #[must_use]
+    pub fn new(client: &Client, url: &str) -> Self {
+        Self(Base::new(client, url))
+    }
+}
+
+impl Instances for HttpInstances {
+    fn list(&self) -> BoxFuture<'_, EdgeResult<Vec<Instance>>> {
+        self.0.get("").boxed()
+    }
+}
+
+/// The backend server interface over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpServers(Base);
+
+impl HttpServers {
+    /// A client of the backend server interface at `url`.
+    #[must_use]
+    pub fn new(client: &Client, url: &str) -> Self {
+        Self(Base::new(client, url))
+    }
+}
+
+impl Servers for HttpServers {
+    fn list(&self) -> BoxFuture<'_, EdgeResult<ServerList>> {
+        self.0.get("").boxed()
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'_, EdgeResult<OrderResult>> {
+        async move { self.0.post("/orders", &order).await }.boxed()
+    }
+}
+
+/// The usage interface over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpUsage(Base);
+
+impl HttpUsage {
+    /// A client of the usage interface at `url`.
+    #[must_use]
+    pub fn new(client: &Client, url: &str) -> Self {
+        Self(Base::new(client, url))
+    }
+}
+
+impl UsageSink for HttpUsage {
+    fn report(&self, report: UsageReport) -> BoxFuture<'_, EdgeResult<()>> {
+        async move {
+            let _: serde_json::Value = self.0.post("", &report).await?;
+            Ok(())
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/src/entry/engine.rs
@@ -0,0 +1,162 @@
+//! One answer of a model engine: a stream of chunks that echo the request's id.
+
+use std::pin::Pin;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eventsource_stream::Eventsource as _;
+use futures_util::{Stream, StreamExt as _, TryStreamExt as _};
+use http::{Method, Request, header};
+use http_body_util::BodyStream;
+use snafu::{ResultExt as _, Snafu};
+
+use crate::http::{AnswerBody, Client, ClientError};
+use crate::wire::{EngineChunk, EngineRequest};
+
+use super::servers::Inflight;
+
+/// Why an engine's answer broke off.
+#[derive(Debug, Snafu)]
+pub(super) enum EngineError {
+    /// The call failed.
+    #[snafu(display("{source}"))]
+    Call {
+        /// The cause.
+        source: ClientError,
+    },
+    /// The engine refused the request, which did not run.
+    #[snafu(display("the engine answered {status}"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// The stream broke or ended before its last chunk.
+    #[snafu(display("the stream broke: {detail}"))]
+    Broken {
+        /// What was seen.
+        detail: String,
+    },
+    /// No chunk in time.
+    #[snafu(display("no chunk in time"))]
+    Stalled,
+    /// A chunk carried another request's id or position.
+    #[snafu(display("a chunk of another answer: {detail}"))]
+    Crossed {
+        /// What was seen.
+        detail: String,
+    },
+}
+
+impl EngineError {
+    /// Whether the request certainly did not run on the engine.
+    pub(super) fn is_not_run(&self) -> bool {
+        match self {
+            Self::Call { source } => source.is_unsent(),
+            Self::Refused { .. } => true,
+            Self::Broken { .. } | Self::Stalled | Self::Crossed { .. } => false,
+        }
+    }
+}
+
+type Events = Pin<Box<dyn Stream<Item = Result<EngineChunk, EngineError>> + Send>>;
+
+/// An open answer of an engine. Dropping it cancels the request.
+pub(super) struct EngineStream {
+    id: String,
+    next_index: u32,
+    events: Events,
+    /// The request's count on its server.
+    pub inflight: Inflight,
+}
+
+impl std::fmt::Debug for EngineStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EngineStream")
+            .field("id", &self.id)
+            .field("next_index", &self.next_index)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EngineStream {
+    /// Sends a request to the server of `inflight`.
+    pub(super) async fn open(
+        client: &Client,
+        inflight: Inflight,
+        request: &EngineRequest,
+        deadline: Instant,
+    ) -> Result<Self, EngineError> {
+        let call = call(&inflight.server.address, request).context(CallSnafu)?;
+        let sent = tokio::time::timeout_at(deadline.into(), client.send(call)).await;
+        let Ok(sent) = sent else {
+            return StalledSnafu.fail();
+        };
+        let answer = sent.context(CallSnafu)?;
+        if !answer.status().is_success() {
+            let status = answer.status().as_u16();
+            return RefusedSnafu { status }.fail();
+        }
+        Ok(Self {
+            id: request.id.clone(),
+            next_index: u32::try_from(request.resume.len()).unwrap_or(u32::MAX),
+            events: Box::pin(chunks(answer.into_body())),
+            inflight,
+        })
+    }
+
+    /// The next chunk of this request's answer.
+    pub(super) async fn next(
+        &mut self,
+        idle: Duration,
+        deadline: Instant,
+    ) -> Result<EngineChunk, EngineError> {
+        let until = deadline.min(Instant::now() + idle);
+        let next = tokio::time::timeout_at(until.into(), self.events.next()).await;
+        let Ok(next) = next else {
+            return StalledSnafu.fail();
+        };
+        let Some(chunk) = next else {
+            let detail = "it ended before its last chunk";
+            return BrokenSnafu { detail }.fail();
+        };
+        let chunk = chunk?;
+        self.check(&chunk)?;
+        let tokens = u32::try_from(chunk.tokens.len()).unwrap_or(u32::MAX);
+        self.next_index = self.next_index.saturating_add(tokens);
+        Ok(chunk)
+    }
+
+    /// A chunk must echo the request's id and follow on the last one.
+    fn check(&self, chunk: &EngineChunk) -> Result<(), EngineError> {
+        if chunk.id == self.id && chunk.index == self.next_index {
+            return Ok(());
+        }
+        let (id, index) = (&chunk.id, chunk.index);
+        let detail = format!(
+            "id {id} at token {index}, expected token {}",
+            self.next_index
+        );
+        CrossedSnafu { detail }.fail()
+    }
+}
+
+fn call(address: &str, request: &EngineRequest) -> Result<Request<Bytes>, ClientError> {
+    let body = serde_json::to_vec(request).unwrap_or_default();
+    let call = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}/generate"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Bytes::from(body));
+    call.map_err(ClientError::malformed)
+}
+
+fn chunks(body: AnswerBody) -> impl Stream<Item = Result<EngineChunk, EngineError>> + Send + use<> {
+    let data = BodyStream::new(body)
+        .try_filter_map(async |frame| Ok(frame.into_data().ok()))
+        .eventsource();
+    data.map(|event| {
+        let broken = |detail: String| EngineError::Broken { detail };
+        let event = event.map_err(|error| broken(error.to_string()))?;
+        serde_json::from_str(&event.data).map_err(|error| broken(error.to_string()))
+    })
+}
--- /dev/null
+++ b/src/entry/generate.rs
@@ -0,0 +1,221 @@
+//! One generation: an engine's answer, resumed on another server when it breaks.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::http::{Refusal, RefusalKind};
+use crate::names::{Model, Pool, ServerId, Tenant};
+use crate::wire::{EngineChunk, EngineRequest, Segment};
+
+use super::Entry;
+use super::engine::{EngineError, EngineStream};
+use super::servers::Need;
+
+/// Servers that one request may be tried on.
+const ATTEMPTS_MAX: u32 = 4;
+
+/// What is to be generated.
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    /// Request id, which the engine echoes.
+    pub id: String,
+    /// Whose request it is.
+    pub tenant: Tenant,
+    /// The model.
+    pub model: Model,
+    /// The prompt.
+    pub prompt: String,
+    /// Most tokens to generate, those held already included.
+    pub max_tokens: u32,
+    /// Engine priority; lower runs first.
+    pub priority: u32,
+    /// Seed of the sample, if one is wanted.
+    pub seed: Option<u64>,
+    /// When the answer must be whole.
+    pub deadline: Instant,
+    /// Weight version that is needed, if any.
+    pub version: Option<u64>,
+    /// Tokens that are held already.
+    pub resume: Vec<String>,
+    /// Servers not to use.
+    pub avoid: Vec<ServerId>,
+}
+
+/// A generation under way. Dropping it cancels the engine's work.
+#[derive(Debug)]
+pub(super) struct Generation {
+    entry: Arc<Entry>,
+    job: Job,
+    pool: Pool,
+    idle: Duration,
+    tokens: Vec<String>,
+    segments: Vec<Segment>,
+    prompt_tokens: u32,
+    attempts: u32,
+    sent: bool,
+    stream: Option<EngineStream>,
+    server: Option<ServerId>,
+}
+
+impl Generation {
+    /// Prepares a generation; nothing is sent yet.
+    ///
+    /// # Errors
+    /// The model is not in the manifest.
+    pub(super) fn new(entry: Arc<Entry>, mut job: Job) -> Result<Self, Refusal> {
+        let state = entry.config.state();
+        let Some(model) = state.manifest.models.get(&job.model) else {
+            let detail = format!("no model is named {}", job.model);
+            return Err(Refusal::not_run(RefusalKind::NotFound, detail));
+        };
+        let tokens = std::mem::take(&mut job.resume);
+        Ok(Self {
+            pool: model.pool.clone(),
+            idle: Duration::from_millis(state.manifest.limits.idle),
+            tokens,
+            segments: Vec::new(),
+            prompt_tokens: 0,
+            attempts: 0,
+            sent: false,
+            stream: None,
+            server: None,
+            entry,
+            job,
+        })
+    }
+
+    /// All tokens so far, those held at the start included.
+    pub(super) fn tokens(&self) -> &[String] {
+        &self.tokens
+    }
+
+    /// The weight versions of the tokens made here.
+    pub(super) fn segments(&self) -> &[Segment] {
+        &self.segments
+    }
+
+    /// Tokens of the prompt, as the engine counts them.
+    pub(super) fn prompt_tokens(&self) -> u32 {
+        self.prompt_tokens
+    }
+
+    /// The server that made the last tokens.
+    pub(super) fn server(&self) -> Option<&ServerId> {
+        self.server.as_ref()
+    }
+
+    /// The next chunk; the one with `done` is the last.
+    ///
+    /// # Errors
+    /// No server could go on, or the deadline passed.
+    pub(super) async fn next(&mut self) -> Result<EngineChunk, Refusal> {
+        loop {
+            if Instant::now() >= self.job.deadline {
+                return Err(self.refusal(RefusalKind::Deadline, "the deadline passed"));
+            }
+            let Some(mut stream) = self.stream.take() else {
+                self.open().await?;
+                continue;
+            };
+            match stream.next(self.idle, self.job.deadline).await {
+                Ok(chunk) => {
+                    self.take(&chunk);
+                    self.stream = (!chunk.done).then_some(stream);
+                    return Ok(chunk);
+                }
+                Err(error) => self.failed(&stream.inflight.server.id.clone(), &error),
+            }
+        }
+    }
+
+    /// Opens a stream on some server.
+    async fn open(&mut self) -> Result<(), Refusal> {
+        if self.attempts == ATTEMPTS_MAX {
+            let detail = format!("gave up after {ATTEMPTS_MAX} backend servers");
+            return Err(self.refusal(RefusalKind::ServerFailed, &detail));
+        }
+        self.attempts += 1;
+        let inflight = self.entry.servers.pick(&self.need(), Instant::now());
+        let Some(inflight) = inflight else {
+            return Err(self.refusal(RefusalKind::NoServer, "no backend server is ready"));
+        };
+        let server = Arc::clone(&inflight.server);
+        let request = self.request();
+        let deadline = self.job.deadline.min(Instant::now() + self.idle);
+        let opened = EngineStream::open(&self.entry.client, inflight, &request, deadline).await;
+        match opened {
+            Ok(stream) => {
+                self.sent = true;
+                self.server = Some(server.id.clone());
+                self.stream = Some(stream);
+            }
+            Err(error) => {
+                self.entry.servers.suspect(&server, Instant::now());
+                self.failed(&server.id, &error);
+            }
+        }
+        Ok(())
+    }
+
+    fn need(&self) -> Need<'_> {
+        Need {
+            pool: &self.pool,
+            avoid: &self.job.avoid,
+            zone: &self.entry.settings.zone,
+            policy: self.entry.config.state().manifest.policy.choice,
+        }
+    }
+
+    fn request(&self) -> EngineRequest {
+        EngineRequest {
+            id: self.job.id.clone(),
+            model: self.job.model.to_string(),
+            prompt: self.job.prompt.clone(),
+            max_tokens: self.job.max_tokens,
+            priority: self.job.priority,
+            resume: self.tokens.clone(),
+            version: self.job.version,
+            seed: self.job.seed,
+        }
+    }
+
+    fn take(&mut self, chunk: &EngineChunk) {
+        self.tokens.extend(chunk.tokens.iter().cloned());
+        if let Some(prompt_tokens) = chunk.prompt_tokens {
+            self.prompt_tokens = prompt_tokens;
+        }
+        let count = u32::try_from(chunk.tokens.len()).unwrap_or(u32::MAX);
+        add_segment(&mut self.segments, chunk.version, count);
+    }
+
+    fn failed(&mut self, server: &ServerId, error: &EngineError) {
+        self.sent |= !error.is_not_run();
+        spdlog::warn!("engine failed", kv: {
+            request = self.job.id.as_str(),
+            tenant = self.job.tenant.as_str(),
+            server = server.as_str(),
+            attempt = self.attempts,
+            error = error.to_string(),
+        });
+        self.job.avoid.push(server.clone());
+    }
+
+    fn refusal(&self, kind: RefusalKind, detail: &str) -> Refusal {
+        if self.sent {
+            Refusal::unknown(kind, detail)
+        } else {
+            Refusal::not_run(kind, detail)
+        }
+    }
+}
+
+/// Adds tokens of a version to the segments.
+pub(super) fn add_segment(segments: &mut Vec<Segment>, version: u64, tokens: u32) {
+    if tokens == 0 {
+        return;
+    }
+    match segments.last_mut() {
+        Some(last) if last.version == version => last.tokens += tokens,
+        _ => segments.push(Segment { version, tokens }),
+    }
+}
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,63 @@
+//! The entry's own instruments.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, Meter};
+
+use crate::names::Tenant;
+
+/// Buckets for seconds, from a millisecond to two minutes.
+const SECONDS: [f64; 12] = [
+    0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 30.0, 120.0,
+];
+
+/// Counters and histograms of one entry.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    requests: Counter<u64>,
+    tokens: Counter<u64>,
+    first: Histogram<f64>,
+}
+
+impl EntryMetrics {
+    /// Instruments made by `meter`.
+    #[must_use]
+    pub fn new(meter: &Meter) -> Self {
+        let requests = meter
+            .u64_counter("basillead_requests")
+            .with_description("Answered requests by tenant, kind and outcome.");
+        let tokens = meter
+            .u64_counter("basillead_tokens")
+            .with_description("Tokens relayed to callers by tenant.");
+        let first = meter
+            .f64_histogram("basillead_first_token_seconds")
+            .with_description("Time from the request's arrival to its first token.")
+            .with_boundaries(SECONDS.to_vec());
+        Self {
+            requests: requests.build(),
+            tokens: tokens.build(),
+            first: first.build(),
+        }
+    }
+
+    /// Counts an answered request. `outcome` is `ok` or the refusal's kind.
+    pub fn request(&self, tenant: &str, kind: &'static str, outcome: &str) {
+        let labels = [
+            KeyValue::new("tenant", tenant.to_owned()),
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome.to_owned()),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts relayed tokens.
+    pub fn tokens(&self, tenant: &Tenant, tokens: u64) {
+        let labels = [KeyValue::new("tenant", tenant.to_string())];
+        self.tokens.add(tokens, &labels);
+    }
+
+    /// Records the time to the first token.
+    pub fn first_token(&self, tenant: &Tenant, seconds: f64) {
+        let labels = [KeyValue::new("tenant", tenant.to_string())];
+        self.first.record(seconds, &labels);
+    }
+}
--- /dev/null
+++ b/src/entry/plain.rs
@@ -0,0 +1,184 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+
+use crate::http::{ClientError, Refusal, RefusalKind, Response, whole};
+use crate::manifest::RouteSpec;
+use crate::names::{ServerId, Tenant};
+use crate::util::unix_ms;
+use crate::wire::UsageUnit;
+
+use super::Entry;
+use super::leak;
+use super::servers::Need;
+
+/// Servers that a repeatable call may be tried on.
+const ATTEMPTS_MAX: usize = 3;
+/// Header that carries the key of a call that must not run twice.
+pub(super) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Headers of a service's answer that pass to the caller.
+const PASSED_BACK: [header::HeaderName; 4] = [
+    header::CONTENT_LANGUAGE,
+    header::ETAG,
+    header::LOCATION,
+    header::RETRY_AFTER,
+];
+
+/// A call to a plain service.
+#[derive(Debug)]
+pub(super) struct PlainCall {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// The headers as the caller sent them.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A service's whole answer.
+#[derive(Clone, Debug)]
+pub(super) struct PlainAnswer {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The headers that pass to the caller.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl PlainAnswer {
+    fn into_response(self) -> Response {
+        let mut answer = whole(self.status, "application/octet-stream", self.body);
+        for (name, value) in &self.headers {
+            answer.headers_mut().insert(name.clone(), value.clone());
+        }
+        answer
+    }
+}
+
+/// Answers a call on `route`.
+pub(super) async fn relay(
+    entry: &Arc<Entry>,
+    route: &RouteSpec,
+    tenant: Option<&Tenant>,
+    call: PlainCall,
+) -> Result<Response, Refusal> {
+    leak::refuse_key("path", call.target.as_bytes())?;
+    leak::refuse_key("body", &call.body)?;
+    if call.headers.contains_key(IDEMPOTENCY_KEY) && !may_repeat(route, &call.method) {
+        let detail = "the idempotency key names no known entry";
+        return Err(Refusal::not_run(RefusalKind::KeyUnbound, detail));
+    }
+    let answer = run(entry, route, &call).await?;
+    if let Some(tenant) = tenant {
+        let window = entry.config.state().manifest.window;
+        let amounts = [(UsageUnit::Requests, 1)];
+        entry.usage.add(unix_ms(), window, tenant, &amounts);
+    }
+    Ok(answer.into_response())
+}
+
+/// Whether a call may run more than once.
+fn may_repeat(route: &RouteSpec, method: &Method) -> bool {
+    route.repeatable || method.is_safe()
+}
+
+/// Runs a call on one server, or on others while it provably did not run or may repeat.
+pub(super) async fn run(
+    entry: &Entry,
+    route: &RouteSpec,
+    call: &PlainCall,
+) -> Result<PlainAnswer, Refusal> {
+    let deadline = Instant::now() + Duration::from_millis(route.timeout);
+    let repeat = may_repeat(route, &call.method);
+    let mut avoid: Vec<ServerId> = Vec::new();
+    let mut sent = false;
+    while avoid.len() < ATTEMPTS_MAX {
+        let need = Need {
+            pool: &route.pool,
+            avoid: &avoid,
+            zone: &entry.settings.zone,
+            policy: entry.config.state().manifest.policy.choice,
+        };
+        let Some(inflight) = entry.servers.pick(&need, Instant::now()) else {
+            break;
+        };
+        let tried = attempt(entry, &inflight.server.address, call, repeat, deadline).await;
+        let error = match tried {
+            Ok(answer) => return Ok(answer),
+            Err(error) => error,
+        };
+        entry.servers.suspect(&inflight.server, Instant::now());
+        sent |= !error.is_unsent();
+        if !repeat && sent {
+            let detail = format!("the service failed while it ran the call: {error}");
+            return Err(Refusal::unknown(RefusalKind::ServerFailed, detail));
+        }
+        if Instant::now() >= deadline {
+            return Err(refusal(sent, RefusalKind::Deadline, "the deadline passed"));
+        }
+        avoid.push(inflight.server.id.clone());
+    }
+    Err(refusal(
+        sent,
+        RefusalKind::NoServer,
+        "no backend server is ready",
+    ))
+}
+
+fn refusal(sent: bool, kind: RefusalKind, detail: &str) -> Refusal {
+    if sent {
+        Refusal::unknown(kind, detail)
+    } else {
+        Refusal::not_run(kind, detail)
+    }
+}
+
+async fn attempt(
+    entry: &Entry,
+    address: &str,
+    call: &PlainCall,
+    repeat: bool,
+    deadline: Instant,
+) -> Result<PlainAnswer, ClientError> {
+    let request = request(address, call)?;
+    let sent = async {
+        let answer = if repeat {
+            entry.client.send(request).await?
+        } else {
+            entry.client.send_once(request).await?
+        };
+        crate::http::collect(answer).await
+    };
+    let limit = deadline.saturating_duration_since(Instant::now());
+    let answer = tokio::time::timeout(limit, sent).await;
+    let answer = answer.unwrap_or(Err(ClientError::Timeout { limit }))?;
+    let (head, body) = answer.into_parts();
+    let mut headers = HeaderMap::new();
+    for (name, value) in &head.headers {
+        if PASSED_BACK.contains(name) || name == header::CONTENT_TYPE {
+            headers.insert(name.clone(), value.clone());
+        }
+    }
+    Ok(PlainAnswer {
+        status: head.status,
+        headers,
+        body,
+    })
+}
+
+fn request(address: &str, call: &PlainCall) -> Result<Request<Bytes>, ClientError> {
+    let mut request = Request::builder()
+        .method(&call.method)
+        .uri(format!("http://{address}{}", call.target))
+        .body(call.body.clone())
+        .map_err(ClientError::malformed)?;
+    *request.headers_mut() = leak::allowed_headers(&call.headers);
+    Ok(request)
+}
--- /dev/null
+++ b/src/entry/serve.rs
@@ -0,0 +1,194 @@
+//! Finds the page of a request and answers it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Method, StatusCode};
+use xitca_web::body::RequestBody;
+
+use crate::http::{Refusal, RefusalKind, Request, Response, json, read_body, whole};
+use crate::log::ConfigState;
+
+use super::Entry;
+use super::api::Call;
+use super::plain::{self, PlainCall};
+use super::{address, auth, sample, stream};
+
+/// Age after which the configuration no longer counts as fresh.
+const FRESH_FOR: Duration = Duration::from_secs(3);
+
+/// The pages of the entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Page {
+    Health,
+    Metrics,
+    Addresses,
+    Complete(Call),
+    Sample,
+    Plain,
+}
+
+impl Page {
+    fn of(path: &str) -> Self {
+        match path {
+            "/healthz" => Self::Health,
+            "/metrics" => Self::Metrics,
+            "/v1/addresses" => Self::Addresses,
+            "/v1/completions" => Self::Complete(Call::Completion),
+            "/v1/chat/completions" => Self::Complete(Call::Chat),
+            "/internal/sample" => Self::Sample,
+            _ => Self::Plain,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Self::Health => "health",
+            Self::Metrics => "metrics",
+            Self::Addresses => "addresses",
+            Self::Complete(call) => call.name(),
+            Self::Sample => "sample",
+            Self::Plain => "plain",
+        }
+    }
+
+    /// Checks the request's method.
+    fn check(self, method: &Method) -> Result<(), Refusal> {
+        let expected = match self {
+            Self::Plain => return Ok(()),
+            Self::Complete(_) | Self::Sample => Method::POST,
+            Self::Health | Self::Metrics | Self::Addresses => Method::GET,
+        };
+        if *method == expected {
+            return Ok(());
+        }
+        let detail = format!("this page takes {expected}");
+        Err(Refusal::not_run(RefusalKind::MethodNotAllowed, detail))
+    }
+}
+
+/// Answers one request.
+pub(super) async fn answer(entry: Arc<Entry>, request: Request) -> Response {
+    let (head, body) = request.into_parts();
+    let (_, body) = body.replace_body(());
+    let page = Page::of(head.uri.path());
+    let answered = dispatch(&entry, page, &head, body).await;
+    let outcome = match &answered {
+        Ok(_) => "ok".to_owned(),
+        Err(refusal) => refusal.kind.to_string(),
+    };
+    entry.counts.request("", page.name(), &outcome);
+    answered.unwrap_or_else(|refusal| refusal.response())
+}
+
+async fn dispatch(
+    entry: &Arc<Entry>,
+    page: Page,
+    head: &Parts,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    page.check(&head.method)?;
+    match page {
+        Page::Health => Ok(whole(StatusCode::OK, "text/plain", Bytes::from("ok\n"))),
+        Page::Metrics => {
+            let text = Bytes::from(entry.metrics.text());
+            Ok(whole(StatusCode::OK, "text/plain; version=0.0.4", text))
+        }
+        Page::Addresses => Ok(json(StatusCode::OK, &address::addresses(entry))),
+        Page::Complete(call) => complete(entry, call, head, body).await,
+        Page::Sample => internal_sample(entry, head, body).await,
+        Page::Plain => plain_call(entry, head, body).await,
+    }
+}
+
+async fn complete(
+    entry: &Arc<Entry>,
+    call: Call,
+    head: &Parts,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    let state = entry.config.state();
+    check_headers(&state, head)?;
+    check_fresh(entry)?;
+    let caller = auth::caller(&state, &head.headers)?;
+    let body = take_body(&state, body).await?;
+    stream::complete(entry, call, caller, &body).await
+}
+
+async fn internal_sample(
+    entry: &Arc<Entry>,
+    head: &Parts,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    let state = entry.config.state();
+    let token = auth::bearer(&head.headers)?;
+    if !entry.settings.peer_secret.is(token) {
+        return Err(auth::invalid());
+    }
+    check_fresh(entry)?;
+    let body = take_body(&state, body).await?;
+    sample::sample(entry, &body).await
+}
+
+async fn plain_call(
+    entry: &Arc<Entry>,
+    head: &Parts,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    let state = entry.config.state();
+    check_headers(&state, head)?;
+    let path = head.uri.path();
+    let Some(route) = state.manifest.route(path) else {
+        let detail = format!("no route for {path}");
+        return Err(Refusal::not_run(RefusalKind::NotFound, detail));
+    };
+    check_fresh(entry)?;
+    let caller = if route.open {
+        None
+    } else {
+        Some(auth::caller(&state, &head.headers)?)
+    };
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(path, |target| target.as_str());
+    let call = PlainCall {
+        method: head.method.clone(),
+        target: target.to_owned(),
+        headers: head.headers.clone(),
+        body: take_body(&state, body).await?,
+    };
+    let tenant = caller.as_ref().map(|caller| &caller.tenant);
+    plain::relay(entry, route, tenant, call).await
+}
+
+async fn take_body(state: &ConfigState, body: RequestBody) -> Result<Bytes, Refusal> {
+    let limits = state.manifest.limits;
+    let deadline = Instant::now() + Duration::from_millis(limits.upload);
+    Ok(read_body(body, limits.body, deadline).await?)
+}
+
+fn check_headers(state: &ConfigState, head: &Parts) -> Result<(), Refusal> {
+    let limit = state.manifest.limits.headers;
+    let size = |(name, value): (&http::HeaderName, &http::HeaderValue)| {
+        name.as_str().len() + value.as_bytes().len()
+    };
+    let total: usize = head.headers.iter().map(size).sum();
+    if total <= limit {
+        return Ok(());
+    }
+    let detail = format!("the headers hold {total} bytes, more than {limit}");
+    Err(Refusal::not_run(RefusalKind::HeadersTooLarge, detail))
+}
+
+/// Refuses keyed work while the configuration may be out of date.
+fn check_fresh(entry: &Entry) -> Result<(), Refusal> {
+    let seen = entry.config.freshness().seen();
+    if seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR) {
+        return Ok(());
+    }
+    let detail = "this entry cannot show that its configuration is up to date";
+    Err(Refusal::not_run(RefusalKind::NotFresh, detail).retry_after(1))
+}
--- /dev/null
+++ b/src/entry/stream.rs
@@ -0,0 +1,192 @@
+//! Completion calls: from the body to a whole or streamed answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use crate::http::{Refusal, RefusalKind, Response, streamed, whole};
+use crate::util::{random_id, unix_ms};
+use crate::wire::{EngineChunk, UsageUnit};
+
+use super::Entry;
+use super::api::{self, Call, Shape, TokenUsage};
+use super::auth::{self, Caller};
+use super::generate::{Generation, Job};
+use super::leak;
+
+/// Engine priority of live requests.
+const PRIORITY_LIVE: u32 = 0;
+
+/// Answers a completion call.
+pub(super) async fn complete(
+    entry: &Arc<Entry>,
+    call: Call,
+    caller: Caller,
+    body: &[u8],
+) -> Result<Response, Refusal> {
+    let arrived = Instant::now();
+    let prompt = api::parse(call, body)?;
+    leak::refuse_key("prompt", prompt.text.as_bytes())?;
+    let limits = entry.config.state().manifest.limits;
+    let shape = Shape {
+        call,
+        id: format!("cmpl-{}", random_id()),
+        model: prompt.model.clone(),
+        created: unix_ms() / 1_000,
+    };
+    let job = Job {
+        id: shape.id.clone(),
+        tenant: caller.tenant.clone(),
+        model: prompt.model.into(),
+        prompt: prompt.text,
+        max_tokens: prompt.max_tokens,
+        priority: PRIORITY_LIVE,
+        seed: prompt.seed,
+        deadline: arrived + Duration::from_millis(limits.request),
+        version: None,
+        resume: Vec::new(),
+        avoid: Vec::new(),
+    };
+    let generation = Generation::new(Arc::clone(entry), job)?;
+    let mut relay = Relay {
+        tally: Tally::new(entry, &caller),
+        entry: Arc::clone(entry),
+        caller,
+        shape,
+        generation,
+        first: None,
+        ended: false,
+    };
+    let first = relay.next().await?;
+    let waited = arrived.elapsed().as_secs_f64();
+    entry.counts.first_token(&relay.caller.tenant, waited);
+    relay.first = Some(first);
+    if prompt.stream {
+        Ok(relay.into_stream())
+    } else {
+        relay.into_whole().await
+    }
+}
+
+/// Tokens of one request, added to the usage counters when it is dropped.
+#[derive(Debug)]
+struct Tally {
+    entry: Arc<Entry>,
+    caller: Caller,
+    tokens_in: u64,
+    tokens_out: u64,
+}
+
+impl Tally {
+    fn new(entry: &Arc<Entry>, caller: &Caller) -> Self {
+        Self {
+            entry: Arc::clone(entry),
+            caller: caller.clone(),
+            tokens_in: 0,
+            tokens_out: 0,
+        }
+    }
+}
+
+impl Drop for Tally {
+    fn drop(&mut self) {
+        if self.tokens_out == 0 {
+            return;
+        }
+        let window = self.entry.config.state().manifest.window;
+        let tenant = &self.caller.tenant;
+        let amounts = [
+            (UsageUnit::Requests, 1),
+            (UsageUnit::TokensIn, self.tokens_in),
+            (UsageUnit::TokensOut, self.tokens_out),
+        ];
+        self.entry.usage.add(unix_ms(), window, tenant, &amounts);
+        self.entry.counts.tokens(tenant, self.tokens_out);
+    }
+}
+
+/// Relays one generation to one caller.
+struct Relay {
+    entry: Arc<Entry>,
+    caller: Caller,
+    shape: Shape,
+    generation: Generation,
+    tally: Tally,
+    first: Option<EngineChunk>,
+    ended: bool,
+}
+
+impl Relay {
+    /// The next chunk, unless the caller's key was withdrawn meanwhile.
+    async fn next(&mut self) -> Result<EngineChunk, Refusal> {
+        if let Some(first) = self.first.take() {
+            return Ok(first);
+        }
+        let chunk = self.generation.next().await?;
+        if self
+            .entry
+            .config
+            .state()
+            .tenant(&self.caller.digest)
+            .is_none()
+        {
+            let detail = auth::invalid().detail;
+            return Err(Refusal::unknown(RefusalKind::KeyInvalid, detail));
+        }
+        self.tally.tokens_in = u64::from(self.generation.prompt_tokens());
+        self.tally.tokens_out += chunk.tokens.len() as u64;
+        Ok(chunk)
+    }
+
+    async fn into_whole(mut self) -> Result<Response, Refusal> {
+        while !self.next().await?.done {}
+        let text = self.generation.tokens().concat();
+        let prompt_tokens = self.generation.prompt_tokens();
+        let completion = u32::try_from(self.generation.tokens().len()).unwrap_or(u32::MAX);
+        let usage = TokenUsage {
+            prompt_tokens,
+            completion_tokens: completion,
+            total_tokens: prompt_tokens.saturating_add(completion),
+        };
+        let body = self
+            .shape
+            .whole(&text, usage)
+            .map_err(|error| Refusal::unknown(RefusalKind::ServerFailed, error.to_string()))?;
+        Ok(whole(StatusCode::OK, "application/json", Bytes::from(body)))
+    }
+
+    fn into_stream(self) -> Response {
+        let pieces = futures_util::stream::unfold(self, |mut relay| async move {
+            if relay.ended {
+                return None;
+            }
+            let piece = relay.piece().await;
+            Some((Ok(Bytes::from(piece)), relay))
+        });
+        streamed("text/event-stream", pieces)
+    }
+
+    /// The next events; a failure becomes an explicit error event.
+    async fn piece(&mut self) -> Vec<u8> {
+        let mut buf = Vec::with_capacity(256);
+        match self.next().await {
+            Ok(chunk) => {
+                self.ended = chunk.done;
+                let written = self
+                    .shape
+                    .event(&chunk.tokens.concat(), chunk.done, &mut buf);
+                self.ended |= written.is_err();
+            }
+            Err(refusal) => {
+                self.ended = true;
+                buf.extend_from_slice(b"event: error\ndata: ");
+                let problem = serde_json::to_vec(&refusal.problem()).unwrap_or_default();
+                buf.extend_from_slice(&problem);
+                buf.extend_from_slice(b"\n\n");
+            }
+        }
+        buf
+    }
+}
--- /dev/null
+++ b/src/http/client.rs
@@ -0,0 +1,153 @@
+//! The HTTP client towards backend servers, the platform and peers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt as _, Full};
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use snafu::{ResultExt as _, Snafu};
+use tokio::time::timeout;
+
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which an idle connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The body of an answer that is still arriving.
+pub type AnswerBody = hyper::body::Incoming;
+
+/// Why a call got no whole answer.
+#[derive(Debug, Snafu)]
+pub enum ClientError {
+    /// No connection: no byte of the request was sent.
+    #[snafu(display("no connection: {source}"))]
+    Connect {
+        /// The cause.
+        source: legacy::Error,
+    },
+    /// The connection broke after bytes may have been sent.
+    #[snafu(display("connection broke: {source}"))]
+    Send {
+        /// The cause.
+        source: legacy::Error,
+    },
+    /// The answer broke off.
+    #[snafu(display("answer broke off: {source}"))]
+    Receive {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// No answer in time.
+    #[snafu(display("no answer within {limit:?}"))]
+    Timeout {
+        /// The time allowed.
+        limit: Duration,
+    },
+    /// The request could not be formed, so nothing was sent.
+    #[snafu(display("malformed request: {source}"))]
+    Malformed {
+        /// The cause.
+        source: http::Error,
+    },
+}
+
+impl ClientError {
+    /// Wraps an error in forming a request.
+    #[must_use]
+    pub fn malformed(source: http::Error) -> Self {
+        Self::Malformed { source }
+    }
+
+    /// Whether it is certain that no byte of the request reached a connection.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Connect { .. } | Self::Malformed { .. })
+    }
+}
+
+/// An HTTP client. Clones share its connections.
+///
+/// A connection whose answer was not read to its end is closed, never reused.
+#[derive(Clone, Debug)]
+pub struct Client {
+    pooled: legacy::Client<HttpConnector, Full<Bytes>>,
+    fresh: legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Client {
+    /// A client with no connections yet.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let pooled = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector.clone());
+        // Without reuse or retry, a failure to connect proves that nothing was sent.
+        let fresh = legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pooled, fresh }
+    }
+
+    /// Sends a request that may be repeated; the answer's body is still arriving.
+    ///
+    /// # Errors
+    /// [`ClientError`]; see [`ClientError::is_unsent`].
+    pub async fn send(&self, request: Request<Bytes>) -> Result<Response<AnswerBody>, ClientError> {
+        let sent = self.pooled.request(request.map(Full::new)).await;
+        sent.map_err(classify)
+    }
+
+    /// Sends a request that must not be repeated, on a connection of its own.
+    ///
+    /// # Errors
+    /// [`ClientError`]; see [`ClientError::is_unsent`].
+    pub async fn send_once(
+        &self,
+        request: Request<Bytes>,
+    ) -> Result<Response<AnswerBody>, ClientError> {
+        let sent = self.fresh.request(request.map(Full::new)).await;
+        sent.map_err(classify)
+    }
+
+    /// Sends a request that may be repeated and reads the whole answer.
+    ///
+    /// # Errors
+    /// [`ClientError`]; see [`ClientError::is_unsent`].
+    pub async fn fetch(
+        &self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let fetched = timeout(limit, async { collect(self.send(request).await?).await });
+        fetched.await.unwrap_or(TimeoutSnafu { limit }.fail())
+    }
+}
+
+fn classify(source: legacy::Error) -> ClientError {
+    if source.is_connect() {
+        ClientError::Connect { source }
+    } else {
+        ClientError::Send { source }
+    }
+}
+
+/// Reads the whole body of an answer.
+pub(crate) async fn collect(answer: Response<AnswerBody>) -> Result<Response<Bytes>, ClientError> {
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await.context(ReceiveSnafu)?;
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP by library: a client, a server, and answers in `problem+json`.
+
+mod client;
+mod refusal;
+mod server;
+
+pub(crate) use client::collect;
+pub use client::{AnswerBody, Client, ClientError};
+pub use refusal::{Refusal, RefusalKind};
+pub use server::{BodyError, Request, Response, Server, json, read_body, streamed, whole};
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,31 @@
+//! A rollout service for reinforcement learning.
+//!
+//! Trainers get rollout rounds, and callers of tenants get live answers from shared model
+//! engines and plain services. The library holds all logic; the daemons in `src/bin` read
+//! their settings and call it.
+//!
+//! | module | job |
+//! | --- | --- |
+//! | [`settings`], [`manifest`], [`checked`] | what operators write, and how it is checked |
+//! | [`edge`] | traits for the outside systems, and their HTTP clients |
+//! | [`log`] | folds of the log's streams |
+//! | [`entry`] | the callers' side |
+//! | [`control`] | the operators' and the platform's side |
+//! | [`wire`] | typed messages at the borders |
+//! | [`http`] | HTTP client, server and refusals |
+
+pub mod checked;
+pub mod cmd;
+pub mod control;
+pub mod edge;
+pub mod entry;
+pub mod http;
+pub mod log;
+pub mod manifest;
+pub mod names;
+pub mod settings;
+#[cfg(feature = "standin")]
+pub mod standin;
+pub mod telemetry;
+pub mod util;
+pub mod wire;
--- /dev/null
+++ b/src/log/config.rs
@@ -0,0 +1,275 @@
+//! The fold of the configuration stream: manifest, keys and rounds.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use crate::manifest::Manifest;
+use crate::names::{KeyDigest, Tenant, sha256_hex};
+use crate::wire::{
+    ConfigBody, ConfigRecord, ConfigSnapshot, KeyEntry, RoundEntry, RoundSpec, Verdict,
+};
+
+/// Verdicts that are remembered for whoever appended the records.
+const VERDICTS_KEPT: usize = 4_096;
+
+/// What is known of a key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KeyInfo {
+    /// The tenant that it was granted to.
+    pub tenant: Tenant,
+    /// The operators' name for it.
+    pub label: String,
+    /// Whether it was withdrawn, which is final.
+    pub withdrawn: bool,
+}
+
+/// The state in force.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigState {
+    /// Offset after the last record folded.
+    pub next: u64,
+    /// Revision of the manifest; 0 when there is none.
+    pub revision: u64,
+    /// The manifest's text.
+    pub text: Arc<str>,
+    /// SHA-256 of the manifest's text, in hex.
+    pub digest: Arc<str>,
+    /// The manifest.
+    pub manifest: Arc<Manifest>,
+    /// Keys by digest.
+    pub keys: BTreeMap<KeyDigest, KeyInfo>,
+    /// Rounds by name.
+    pub rounds: BTreeMap<String, RoundEntry>,
+}
+
+impl ConfigState {
+    /// The tenant of a key that is in force.
+    #[must_use]
+    pub fn tenant(&self, digest: &KeyDigest) -> Option<&Tenant> {
+        let info = self.keys.get(digest)?;
+        let known = self.manifest.tenants.contains_key(&info.tenant);
+        (known && !info.withdrawn).then_some(&info.tenant)
+    }
+
+    /// The round of a name, unless it was cancelled.
+    #[must_use]
+    pub fn round(&self, name: &str) -> Option<&RoundSpec> {
+        let entry = self.rounds.get(name)?;
+        (!entry.cancelled).then_some(&entry.spec)
+    }
+
+    /// The state as a snapshot.
+    #[must_use]
+    pub fn snapshot(&self) -> ConfigSnapshot {
+        ConfigSnapshot {
+            revision: self.revision,
+            manifest: self.text.to_string(),
+            keys: self.keys.iter().map(key_entry).collect(),
+            rounds: self.rounds.values().cloned().collect(),
+        }
+    }
+}
+
+fn key_entry((digest, info): (&KeyDigest, &KeyInfo)) -> KeyEntry {
+    KeyEntry {
+        digest: digest.to_string(),
+        tenant: info.tenant.to_string(),
+        label: info.label.clone(),
+        withdrawn: info.withdrawn,
+    }
+}
+
+/// Folds records into a state and keeps the latest verdicts.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigFold {
+    state: ConfigState,
+    verdicts: VecDeque<(String, Verdict)>,
+}
+
+impl ConfigFold {
+    /// The state after the records folded so far.
+    #[must_use]
+    pub fn state(&self) -> &ConfigState {
+        &self.state
+    }
+
+    /// The verdict on the record with this id, once it was folded.
+    #[must_use]
+    pub fn verdict(&self, id: &str) -> Option<&Verdict> {
+        let found = self.verdicts.iter().rev().find(|(known, _)| known == id);
+        found.map(|(_, verdict)| verdict)
+    }
+
+    /// Folds the record at `offset`; records before the state's `next` change nothing.
+    ///
+    /// A record that does not parse is skipped, by every reader alike.
+    pub fn apply(&mut self, offset: u64, data: &str) {
+        if offset < self.state.next {
+            return;
+        }
+        self.state.next = offset + 1;
+        let Ok(record) = serde_json::from_str::<ConfigRecord>(data) else {
+            spdlog::warn!("unreadable record skipped", kv: { offset });
+            return;
+        };
+        if self.verdict(&record.id).is_some() {
+            return;
+        }
+        let verdict = self.fold(offset, record.body);
+        self.remember(record.id, verdict);
+    }
+
+    /// Takes over a state that stands for all records before `upto`.
+    ///
+    /// Returns whether it was ahead of this fold.
+    pub fn restore(&mut self, upto: u64, snapshot: ConfigSnapshot) -> bool {
+        if upto <= self.state.next {
+            return false;
+        }
+        let Ok(manifest) = parse_snapshot(&snapshot.manifest) else {
+            spdlog::error!("snapshot with an invalid manifest skipped", kv: { upto });
+            return false;
+        };
+        self.state = ConfigState {
+            next: upto,
+            revision: snapshot.revision,
+            digest: sha256_hex(snapshot.manifest.as_bytes()).into(),
+            text: snapshot.manifest.into(),
+            manifest: Arc::new(manifest),
+            keys: snapshot.keys.into_iter().map(key_info).collect(),
+            rounds: snapshot.rounds.into_iter().map(round_entry).collect(),
+        };
+        true
+    }
+
+    fn remember(&mut self, id: String, verdict: Verdict) {
+        if self.verdicts.len() == VERDICTS_KEPT {
+            self.verdicts.pop_front();
+        }
+        self.verdicts.push_back((id, verdict));
+    }
+
+    fn fold(&mut self, offset: u64, body: ConfigBody) -> Verdict {
+        match body {
+            ConfigBody::Manifest { base, text } => self.fold_manifest(offset, base, text),
+            ConfigBody::KeyGrant {
+                digest,
+                label,
+                tenant,
+            } => self.fold_grant(offset, digest.into(), label, tenant.into()),
+            ConfigBody::KeyWithdraw { digest } => self.fold_withdraw(offset, &digest.into()),
+            ConfigBody::RoundCreate { round } => self.fold_round(offset, round),
+            ConfigBody::RoundCancel { name } => self.fold_cancel(offset, &name),
+            ConfigBody::Snapshot { .. } => ignored("a snapshot of what is known"),
+        }
+    }
+
+    fn accepted(&self, offset: u64) -> Verdict {
+        Verdict::Accepted {
+            offset,
+            revision: self.state.revision,
+        }
+    }
+
+    fn fold_manifest(&mut self, offset: u64, base: u64, text: String) -> Verdict {
+        let revision = self.state.revision;
+        if base != revision {
+            return Verdict::Conflict { base, revision };
+        }
+        match Manifest::parse(&text) {
+            Err(findings) => Verdict::Invalid {
+                findings: findings.0,
+            },
+            Ok(manifest) => {
+                self.state.revision = offset + 1;
+                self.state.digest = sha256_hex(text.as_bytes()).into();
+                self.state.text = text.into();
+                self.state.manifest = Arc::new(manifest);
+                self.accepted(offset)
+            }
+        }
+    }
+
+    fn fold_grant(
+        &mut self,
+        offset: u64,
+        digest: KeyDigest,
+        label: String,
+        tenant: Tenant,
+    ) -> Verdict {
+        if !self.state.manifest.tenants.contains_key(&tenant) {
+            return ignored(&format!("no tenant is named {tenant}"));
+        }
+        if self.state.keys.contains_key(&digest) {
+            return ignored("the key is known already");
+        }
+        let info = KeyInfo {
+            tenant,
+            label,
+            withdrawn: false,
+        };
+        self.state.keys.insert(digest, info);
+        self.accepted(offset)
+    }
+
+    fn fold_withdraw(&mut self, offset: u64, digest: &KeyDigest) -> Verdict {
+        let Some(info) = self.state.keys.get_mut(digest) else {
+            return ignored("the key is unknown");
+        };
+        info.withdrawn = true;
+        self.accepted(offset)
+    }
+
+    fn fold_round(&mut self, offset: u64, spec: RoundSpec) -> Verdict {
+        let manifest = &self.state.manifest;
+        if !manifest.tenants.contains_key(spec.tenant.as_str()) {
+            return ignored(&format!("no tenant is named {}", spec.tenant));
+        }
+        if !manifest.models.contains_key(spec.model.as_str()) {
+            return ignored(&format!("no model is named {}", spec.model));
+        }
+        if self.state.rounds.contains_key(&spec.name) {
+            return ignored("a round of this name is known already");
+        }
+        let entry = RoundEntry {
+            cancelled: false,
+            spec,
+        };
+        self.state.rounds.insert(entry.spec.name.clone(), entry);
+        self.accepted(offset)
+    }
+
+    fn fold_cancel(&mut self, offset: u64, name: &str) -> Verdict {
+        let Some(entry) = self.state.rounds.get_mut(name) else {
+            return ignored("the round is unknown");
+        };
+        entry.cancelled = true;
+        self.accepted(offset)
+    }
+}
+
+fn ignored(reason: &str) -> Verdict {
+    Verdict::Ignored {
+        reason: reason.to_owned(),
+    }
+}
+
+fn parse_snapshot(text: &str) -> Result<Manifest, crate::checked::Findings> {
+    if text.is_empty() {
+        return Ok(Manifest::default());
+    }
+    Manifest::parse(text)
+}
+
+fn key_info(entry: KeyEntry) -> (KeyDigest, KeyInfo) {
+    let info = KeyInfo {
+        tenant: entry.tenant.into(),
+        label: entry.label,
+        withdrawn: entry.withdrawn,
+    };
+    (entry.digest.into(), info)
+}
+
+fn round_entry(entry: RoundEntry) -> (String, RoundEntry) {
+    (entry.spec.name.clone(), entry)
+}
--- /dev/null
+++ b/src/manifest/parse.rs
@@ -0,0 +1,188 @@
+//! Takes a manifest's fields from its TOML and checks them against one another.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+use super::{
+    ChoicePolicy, Limits, Manifest, ModelSpec, Policy, PoolKind, PoolSpec, QueuePolicy, RouteSpec,
+    TenantSpec,
+};
+use crate::checked::Table;
+use crate::names::{Model, Pool, Tenant};
+
+const ANY: RangeInclusive<u64> = 0..=u64::MAX;
+const BODY_BYTES: RangeInclusive<u64> = 1..=(64 << 20);
+const HEADER_BYTES: RangeInclusive<u64> = 256..=(60 << 10);
+const TIMEOUT_MS: RangeInclusive<u64> = 1..=3_600_000;
+const QUEUE: RangeInclusive<u64> = 0..=100_000;
+const WINDOW_S: RangeInclusive<u64> = 1..=86_400;
+const WEIGHT: RangeInclusive<u64> = 1..=1_000;
+const PERCENT: RangeInclusive<u64> = 0..=100;
+const SERVERS: RangeInclusive<u64> = 0..=10_000;
+const SLOTS: RangeInclusive<u64> = 1..=10_000;
+
+/// Milliseconds that a call of a route may take by default.
+const ROUTE_TIMEOUT_MS: u64 = 5_000;
+/// Milliseconds for which a kept answer is kept by default.
+const ROUTE_KEEP_MS: u64 = 600_000;
+/// Seconds of a usage window by default.
+const DEFAULT_WINDOW_S: u64 = 60;
+/// Requests that one server runs at a time by default.
+const DEFAULT_SLOTS: u64 = 16;
+
+pub(super) fn manifest(root: &Table<'_>) -> Manifest {
+    let pools = pools(root);
+    let models = models(root, &pools);
+    let routes = routes(root, &pools);
+    let usage = root.table_opt("usage");
+    let window = |t: &Table<'_>| t.number_or("window_s", DEFAULT_WINDOW_S, &WINDOW_S);
+    Manifest {
+        base: root.number("base", &ANY),
+        limits: limits(root),
+        policy: policy(root),
+        window: usage.as_ref().map_or(DEFAULT_WINDOW_S, window),
+        tenants: tenants(root),
+        pools,
+        models,
+        routes,
+    }
+}
+
+fn size(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
+fn limits(root: &Table<'_>) -> Limits {
+    let base = Limits::default();
+    let Some(table) = root.table_opt("limits") else {
+        return base;
+    };
+    let bytes = |key, default: usize, range| size(table.number_or(key, default as u64, range));
+    Limits {
+        body: bytes("body_bytes", base.body, &BODY_BYTES),
+        headers: bytes("header_bytes", base.headers, &HEADER_BYTES),
+        upload: table.number_or("upload_ms", base.upload, &TIMEOUT_MS),
+        request: table.number_or("request_ms", base.request, &TIMEOUT_MS),
+        idle: table.number_or("idle_ms", base.idle, &TIMEOUT_MS),
+        queue: bytes("queue", base.queue, &QUEUE),
+        address: table.number_or("address_ms", base.address, &TIMEOUT_MS),
+    }
+}
+
+fn policy(root: &Table<'_>) -> Policy {
+    let Some(table) = root.table_opt("policy") else {
+        return Policy::default();
+    };
+    let choices = [
+        ("affinity", ChoicePolicy::Affinity),
+        ("least", ChoicePolicy::Least),
+        ("round-robin", ChoicePolicy::RoundRobin),
+    ];
+    let queues = [("fair", QueuePolicy::Fair), ("fifo", QueuePolicy::Fifo)];
+    Policy {
+        choice: table.choice_or("choice", ChoicePolicy::default(), &choices),
+        queue: table.choice_or("queue", QueuePolicy::default(), &queues),
+    }
+}
+
+/// Inserts an item under its name and reports a name that stands twice.
+fn insert<K: Ord + std::fmt::Display, V>(
+    map: &mut BTreeMap<K, V>,
+    table: &Table<'_>,
+    name: K,
+    item: V,
+) {
+    if map.contains_key(&name) {
+        table.report("name", &format!("{name} stands twice"));
+    }
+    map.insert(name, item);
+}
+
+fn tenants(root: &Table<'_>) -> BTreeMap<Tenant, TenantSpec> {
+    let mut tenants = BTreeMap::new();
+    for table in root.tables("tenants") {
+        let spec = TenantSpec {
+            weight: table.number_or("weight", 1, &WEIGHT),
+            rate: table.number_or("tokens_s", 0, &ANY),
+        };
+        insert(&mut tenants, &table, table.text("name").into(), spec);
+    }
+    tenants
+}
+
+fn pools(root: &Table<'_>) -> BTreeMap<Pool, PoolSpec> {
+    let mut pools = BTreeMap::new();
+    let kinds = [("engine", PoolKind::Engine), ("service", PoolKind::Service)];
+    for table in root.tables("pools") {
+        let spec = PoolSpec {
+            kind: table.choice_or("kind", PoolKind::Engine, &kinds),
+            fenced: table.flag_or("checks_fence", false),
+            zones: table.texts("zones").into_iter().map(Into::into).collect(),
+            min: table.number_or("min", 0, &SERVERS),
+            max: table.number_or("max", 0, &SERVERS),
+            cheap: table.number_or("cheap_percent", 0, &PERCENT),
+            slots: table.number_or("slots", DEFAULT_SLOTS, &SLOTS),
+        };
+        if spec.min > spec.max {
+            table.report("max", &format!("expected at least min = {}", spec.min));
+        }
+        if spec.max > 0 && spec.zones.is_empty() {
+            table.report("zones", "expected at least one availability zone");
+        }
+        insert(&mut pools, &table, table.text("name").into(), spec);
+    }
+    pools
+}
+
+/// Reads a reference to a pool of the given kind.
+fn pool_ref(table: &Table<'_>, pools: &BTreeMap<Pool, PoolSpec>, kind: PoolKind) -> Pool {
+    let pool = Pool::from(table.text("pool"));
+    match pools.get(&pool) {
+        _ if pool.as_str().is_empty() => {}
+        None => table.report("pool", &format!("no pool is named {pool}")),
+        Some(spec) if spec.kind != kind => {
+            table.report("pool", &format!("pool {pool} is of the other kind"));
+        }
+        Some(_) => {}
+    }
+    pool
+}
+
+fn models(root: &Table<'_>, pools: &BTreeMap<Pool, PoolSpec>) -> BTreeMap<Model, ModelSpec> {
+    let mut models = BTreeMap::new();
+    for table in root.tables("models") {
+        let spec = ModelSpec {
+            pool: pool_ref(&table, pools, PoolKind::Engine),
+            version: table.number("version", &ANY),
+        };
+        insert(&mut models, &table, table.text("name").into(), spec);
+    }
+    models
+}
+
+fn routes(root: &Table<'_>, pools: &BTreeMap<Pool, PoolSpec>) -> Vec<RouteSpec> {
+    let mut routes: Vec<RouteSpec> = Vec::new();
+    for table in root.tables("routes") {
+        let path = table.text("path");
+        if !path.starts_with('/') || path.ends_with('/') {
+            table.report("path", "expected a path such as /orders");
+        }
+        let reserved = ["/v1", "/internal", "/healthz", "/metrics"];
+        if reserved.iter().any(|word| path.starts_with(word)) {
+            table.report("path", "this path is basillead's own");
+        }
+        if routes.iter().any(|route| route.path == path) {
+            table.report("path", &format!("{path} stands twice"));
+        }
+        routes.push(RouteSpec {
+            path,
+            pool: pool_ref(&table, pools, PoolKind::Service),
+            open: table.flag_or("open", false),
+            repeatable: table.flag_or("repeatable", false),
+            timeout: table.number_or("timeout_ms", ROUTE_TIMEOUT_MS, &TIMEOUT_MS),
+            keep: table.number_or("keep_ms", ROUTE_KEEP_MS, &TIMEOUT_MS),
+        });
+    }
+    routes.sort_by_key(|route| std::cmp::Reverse(route.path.len()));
+    routes
+}
--- /dev/null
+++ b/src/names.rs
@@ -0,0 +1,133 @@
+//! Newtypes for names and identifiers, so that one kind cannot pass for another.
+
+use std::sync::Arc;
+
+use derive_more::{AsRef, Display};
+use sha2::{Digest as _, Sha256};
+
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident) => {
+        $(#[$doc])*
+        #[derive(AsRef, Clone, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        #[as_ref(str)]
+        pub struct $type(Arc<str>);
+
+        impl $type {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $type {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $type {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $type {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name!(
+    /// A tenant: one customer team of a deployment.
+    Tenant
+);
+name!(
+    /// A pool: backend servers that serve the same purpose.
+    Pool
+);
+name!(
+    /// A model that engines of a pool serve.
+    Model
+);
+name!(
+    /// An availability zone.
+    Zone
+);
+name!(
+    /// A backend server.
+    ServerId
+);
+name!(
+    /// An instance: one machine that runs an entry and a control daemon.
+    InstanceId
+);
+name!(
+    /// One run of one process: random, new at each start.
+    Incarnation
+);
+name!(
+    /// The SHA-256 digest of a key, in hex.
+    KeyDigest
+);
+
+impl Incarnation {
+    /// Draws a new incarnation.
+    #[must_use]
+    pub fn random() -> Self {
+        Self::from(crate::util::random_id())
+    }
+}
+
+impl KeyDigest {
+    /// The digest of a key's text.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self::from(sha256_hex(key.as_bytes()))
+    }
+}
+
+/// The SHA-256 digest of `bytes`, in hex.
+#[must_use]
+pub fn sha256_hex(bytes: &[u8]) -> String {
+    use std::fmt::Write as _;
+    let digest = Sha256::digest(bytes);
+    let mut text = String::with_capacity(digest.len() * 2);
+    for byte in digest {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// A secret text, which `Debug` hides.
+#[derive(Clone)]
+pub struct Secret(String);
+
+impl Secret {
+    /// Wraps a secret; surrounding white space is dropped.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        Self(text.trim().to_owned())
+    }
+
+    /// The secret itself.
+    #[must_use]
+    pub fn reveal(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether `other` is this secret, compared in constant time.
+    #[must_use]
+    pub fn is(&self, other: &str) -> bool {
+        use subtle::ConstantTimeEq as _;
+        self.0.as_bytes().ct_eq(other.as_bytes()).into()
+    }
+}
+
+impl std::fmt::Debug for Secret {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,233 @@
+//! An instance's settings: one TOML file that both daemons read.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use snafu::{ResultExt, Snafu};
+
+use crate::checked::{self, Findings, Table};
+use crate::names::{InstanceId, Secret, Zone};
+
+/// Threads that one daemon may use.
+const THREADS: std::ops::RangeInclusive<u64> = 1..=64;
+
+/// Why settings could not be read.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// A file could not be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The settings have findings.
+    #[snafu(display("{}:\n{findings}", path.display()))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// All findings with their place.
+        findings: Findings,
+    },
+}
+
+/// The addresses on which one daemon listens.
+#[derive(Clone, Debug)]
+pub struct Listen {
+    /// Address for HTTP.
+    pub http: SocketAddr,
+    /// Address of the peers' link.
+    pub peer: SocketAddr,
+}
+
+/// Base URLs of the platform's interfaces.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// The log service.
+    pub log: String,
+    /// The instance list.
+    pub instances: String,
+    /// The backend server interface.
+    pub servers: String,
+    /// The usage interface.
+    pub usage: String,
+    /// The weight store.
+    pub weights: String,
+}
+
+/// How log events are written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogFormat {
+    /// One line of text for each event.
+    Text,
+    /// One JSON object for each event.
+    Json,
+}
+
+/// Lowest severity that is written to the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LogLevel {
+    /// Errors only.
+    Error,
+    /// Warnings and errors.
+    Warn,
+    /// Normal operation.
+    Info,
+    /// Everything.
+    Debug,
+}
+
+/// An instance's settings.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The instance's name in the instance list.
+    pub instance: InstanceId,
+    /// The region, which bounds majority and freshness.
+    pub region: String,
+    /// The availability zone.
+    pub zone: Zone,
+    /// Threads of each daemon.
+    pub threads: usize,
+    /// Where the entry listens.
+    pub entry: Listen,
+    /// Where the control daemon listens.
+    pub control: Listen,
+    /// The platform's interfaces.
+    pub platform: Platform,
+    /// Secret of the peers' link.
+    pub peer_secret: Secret,
+    /// Key of the operators' interface.
+    pub operator_key: Secret,
+    /// Format of the log.
+    pub log_format: LogFormat,
+    /// Level of the log.
+    pub log_level: LogLevel,
+}
+
+/// Paths of the secrets, read after the text was found to be right.
+struct SecretPaths {
+    peer: PathBuf,
+    operator: PathBuf,
+}
+
+impl Settings {
+    /// Reads settings and the secrets that they name.
+    ///
+    /// # Errors
+    /// A file that cannot be read, or all findings of the text.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = read_file(path)?;
+        let (mut settings, secrets) =
+            checked::read(&text, parse).map_err(|findings| SettingsError::Invalid {
+                path: path.to_owned(),
+                findings,
+            })?;
+        let dir = path.parent().unwrap_or(Path::new("."));
+        settings.peer_secret = read_secret(&dir.join(secrets.peer))?;
+        settings.operator_key = read_secret(&dir.join(secrets.operator))?;
+        Ok(settings)
+    }
+}
+
+fn read_file(path: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(path).context(FileSnafu { path })
+}
+
+fn read_secret(path: &Path) -> Result<Secret, SettingsError> {
+    let secret = Secret::new(&read_file(path)?);
+    if secret.reveal().is_empty() {
+        let source = std::io::Error::other("the secret is empty");
+        return Err(source).context(FileSnafu { path });
+    }
+    Ok(secret)
+}
+
+fn parse(root: &Table<'_>) -> (Settings, SecretPaths) {
+    let secrets = root.table("secrets");
+    let log = root.table_opt("log");
+    let settings = Settings {
+        instance: root.text("instance").into(),
+        region: root.text("region"),
+        zone: root.text("zone").into(),
+        threads: usize::try_from(root.number_or("threads", 2, &THREADS)).unwrap_or(2),
+        entry: parse_listen(root, "entry"),
+        control: parse_listen(root, "control"),
+        platform: parse_platform(root),
+        peer_secret: Secret::new(""),
+        operator_key: Secret::new(""),
+        log_format: log.as_ref().map_or(LogFormat::Json, parse_format),
+        log_level: log.as_ref().map_or(LogLevel::Info, parse_level),
+    };
+    let path = |key| {
+        secrets
+            .as_ref()
+            .map_or_else(PathBuf::new, |t| t.text(key).into())
+    };
+    let paths = SecretPaths {
+        peer: path("peer"),
+        operator: path("operator"),
+    };
+    (settings, paths)
+}
+
+fn parse_listen(root: &Table<'_>, key: &str) -> Listen {
+    let table = root.table(key);
+    let address = |field: &str| {
+        let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+        let Some(table) = &table else {
+            return unset;
+        };
+        let text = table.text(field);
+        text.parse().unwrap_or_else(|_| {
+            table.report(
+                field,
+                "expected an IP address and port, such as 10.0.0.1:7000",
+            );
+            unset
+        })
+    };
+    Listen {
+        http: address("http"),
+        peer: address("peer"),
+    }
+}
+
+fn parse_platform(root: &Table<'_>) -> Platform {
+    let table = root.table("platform");
+    let url = |field: &str| {
+        let Some(table) = &table else {
+            return String::new();
+        };
+        let text = table.text(field);
+        let is_url = text
+            .parse::<http::Uri>()
+            .is_ok_and(|uri| uri.host().is_some());
+        if !is_url {
+            table.report(field, "expected a URL, such as http://10.0.0.9:9000/log");
+        }
+        text
+    };
+    Platform {
+        log: url("log"),
+        instances: url("instances"),
+        servers: url("servers"),
+        usage: url("usage"),
+        weights: url("weights"),
+    }
+}
+
+fn parse_format(log: &Table<'_>) -> LogFormat {
+    let choices = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+    log.choice_or("format", LogFormat::Json, &choices)
+}
+
+fn parse_level(log: &Table<'_>) -> LogLevel {
+    let choices = [
+        ("error", LogLevel::Error),
+        ("warn", LogLevel::Warn),
+        ("info", LogLevel::Info),
+        ("debug", LogLevel::Debug),
+    ];
+    log.choice_or("level", LogLevel::Info, &choices)
+}
--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,322 @@
+//! A model engine: continuous batching, priorities, a prefix cache, resume and cancel.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::names::sha256_hex;
+use crate::wire::{EngineChunk, EngineLoad, EngineOrder, EngineRequest};
+
+use super::prefix::PrefixCache;
+use super::serve::{self, Answer, Served, events, json, whole};
+use super::weights::WeightStore;
+
+/// Prompts with this word crash the engine that runs them.
+pub const POISON: &str = "POISON";
+/// Chunks that may wait for a slow reader.
+const CHUNKS_WAITING: usize = 4;
+
+/// How an engine behaves.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineConfig {
+    /// Requests that run at a time.
+    pub slots: u32,
+    /// Time for one token of a lone request.
+    pub token: Duration,
+    /// Share by which each further running request slows all of them down.
+    pub slowdown: f64,
+    /// Time for each prompt word that is not cached.
+    pub prefill: Duration,
+    /// Blocks in the prefix cache.
+    pub cache: usize,
+    /// Tokens in one chunk.
+    pub chunk: usize,
+    /// Whether orders with an old fencing number are refused.
+    pub fenced: bool,
+    /// Time by which the load report lags.
+    pub lag: Duration,
+}
+
+impl Default for EngineConfig {
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            token: Duration::from_millis(2),
+            slowdown: 0.05,
+            prefill: Duration::from_micros(50),
+            cache: 4_096,
+            chunk: 4,
+            fenced: true,
+            lag: Duration::from_millis(500),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    model: String,
+    version: u64,
+    fence: u64,
+    running: u32,
+    sequence: u64,
+    waiting: BTreeMap<(u32, u64), oneshot::Sender<()>>,
+    cache: PrefixCache,
+    report: EngineLoad,
+    generated: u64,
+    served: u64,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct Engine {
+    config: EngineConfig,
+    store: Arc<WeightStore>,
+    state: Mutex<State>,
+    crash: mpsc::UnboundedSender<()>,
+}
+
+/// A running slot. Dropping it lets the next waiting request run.
+struct SlotGuard(Arc<Engine>);
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let mut state = self.0.state.lock();
+        state.running -= 1;
+        while let Some((_, next)) = state.waiting.pop_first() {
+            if next.send(()).is_ok() {
+                state.running += 1;
+                break;
+            }
+        }
+    }
+}
+
+impl Engine {
+    /// An engine that holds no weights yet. A message on `crash` asks to break it.
+    #[must_use]
+    pub fn new(
+        config: EngineConfig,
+        store: Arc<WeightStore>,
+        crash: mpsc::UnboundedSender<()>,
+    ) -> Arc<Self> {
+        let report = EngineLoad {
+            model: String::new(),
+            queued_tokens: 0,
+            running: 0,
+            version: 0,
+            waiting: 0,
+        };
+        Arc::new(Self {
+            config,
+            store,
+            crash,
+            state: Mutex::new(State {
+                model: String::new(),
+                version: 0,
+                fence: 0,
+                running: 0,
+                sequence: 0,
+                waiting: BTreeMap::new(),
+                cache: PrefixCache::new(config.cache),
+                report,
+                generated: 0,
+                served: 0,
+            }),
+        })
+    }
+
+    /// Serves the engine's interface.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn serve(self: &Arc<Self>, address: SocketAddr) -> io::Result<Served> {
+        let engine = Arc::clone(self);
+        let lagging = Arc::downgrade(self);
+        let lag = self.config.lag;
+        tokio::spawn(async move {
+            while let Some(engine) = lagging.upgrade() {
+                engine.refresh_report();
+                drop(engine);
+                tokio::time::sleep(lag).await;
+            }
+        });
+        serve::serve(address, move |request| Arc::clone(&engine).answer(request)).await
+    }
+
+    /// Sets the weight version without a load.
+    pub fn set_version(&self, model: &str, version: u64) {
+        let mut state = self.state.lock();
+        model.clone_into(&mut state.model);
+        state.version = version;
+    }
+
+    /// Tokens generated so far.
+    #[must_use]
+    pub fn generated(&self) -> u64 {
+        self.state.lock().generated
+    }
+
+    fn refresh_report(&self) {
+        let mut state = self.state.lock();
+        state.report = EngineLoad {
+            model: state.model.clone(),
+            queued_tokens: 0,
+            running: state.running,
+            version: state.version,
+            waiting: u32::try_from(state.waiting.len()).unwrap_or(u32::MAX),
+        };
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        match (&head.method, head.uri.path()) {
+            (&Method::GET, "/load") => Ok(json(&self.state.lock().report)),
+            (&Method::POST, "/generate") => {
+                let body = serve::read(body).await?;
+                match serde_json::from_slice(&body) {
+                    Ok(request) => Ok(self.generate(request)),
+                    Err(error) => Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
+                }
+            }
+            (&Method::POST, "/orders") => {
+                let body = serve::read(body).await?;
+                match serde_json::from_slice(&body) {
+                    Ok(order) => Ok(self.load(order).await),
+                    Err(error) => Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
+                }
+            }
+            _ => Ok(whole(StatusCode::NOT_FOUND, "no such page")),
+        }
+    }
+
+    async fn load(&self, order: EngineOrder) -> Response<serve::Body> {
+        if self.config.fenced && order.fence < self.state.lock().fence {
+            return whole(StatusCode::CONFLICT, "old fencing number");
+        }
+        self.state.lock().fence = order.fence;
+        if !self.store.fetch().await {
+            return whole(StatusCode::BAD_GATEWAY, "the load failed");
+        }
+        self.set_version(&order.model, order.version);
+        self.refresh_report();
+        json(&order)
+    }
+
+    fn generate(self: Arc<Self>, request: EngineRequest) -> Response<serve::Body> {
+        let state = self.state.lock();
+        let wrong = request
+            .version
+            .is_some_and(|version| version != state.version);
+        if state.model != request.model || wrong {
+            return whole(StatusCode::CONFLICT, "another model or version is loaded");
+        }
+        drop(state);
+        let (sender, receiver) = mpsc::channel(CHUNKS_WAITING);
+        tokio::spawn(self.run(request, sender));
+        let pieces = futures_util::stream::unfold(receiver, async |mut receiver| {
+            let chunk: EngineChunk = receiver.recv().await?;
+            let mut event = b"data: ".to_vec();
+            serde_json::to_writer(&mut event, &chunk).ok()?;
+            event.extend_from_slice(b"\n\n");
+            Some((Ok(Bytes::from(event)), receiver))
+        });
+        events(pieces)
+    }
+
+    /// Runs one request until it is done or its reader is gone.
+    async fn run(self: Arc<Self>, request: EngineRequest, sender: mpsc::Sender<EngineChunk>) {
+        let slot = self.slot(request.priority);
+        let _slot = tokio::select! {
+            slot = slot => slot,
+            () = sender.closed() => return,
+        };
+        if request.prompt.contains(POISON) {
+            let _ = self.crash.send(());
+            return;
+        }
+        let words = request.prompt.split_whitespace().count();
+        let cached = self.state.lock().cache.visit(&request.prompt);
+        let missing = u32::try_from(words.saturating_sub(cached)).unwrap_or(u32::MAX);
+        tokio::time::sleep(self.config.prefill * missing).await;
+        let total = request.max_tokens as usize;
+        let mut index = request.resume.len();
+        while index <= total {
+            let count = self.config.chunk.min(total - index);
+            self.pace(count).await;
+            let chunk = EngineChunk {
+                cached: u32::try_from(cached).ok(),
+                done: index + count >= total,
+                id: request.id.clone(),
+                index: u32::try_from(index).unwrap_or(u32::MAX),
+                prompt_tokens: u32::try_from(words).ok(),
+                tokens: (index..index + count)
+                    .map(|n| token(&request.id, n))
+                    .collect(),
+                version: self.note_generated(count),
+            };
+            let done = chunk.done;
+            if sender.send(chunk).await.is_err() || done {
+                break;
+            }
+            index += count;
+        }
+        self.state.lock().served += 1;
+    }
+
+    /// Waits for a slot, lower priority numbers first.
+    async fn slot(self: &Arc<Self>, priority: u32) -> SlotGuard {
+        let waiting = {
+            let mut state = self.state.lock();
+            if state.running < self.config.slots {
+                state.running += 1;
+                None
+            } else {
+                let (sender, receiver) = oneshot::channel();
+                state.sequence += 1;
+                let place = (priority, state.sequence);
+                state.waiting.insert(place, sender);
+                Some(receiver)
+            }
+        };
+        if let Some(waiting) = waiting {
+            // The sender is kept until it is used, so this does not fail.
+            let _ = waiting.await;
+        }
+        SlotGuard(Arc::clone(self))
+    }
+
+    /// Takes the time that `tokens` take at the present load.
+    async fn pace(&self, tokens: usize) {
+        let others = self.state.lock().running.saturating_sub(1);
+        let factor = 1.0 + self.config.slowdown * f64::from(others);
+        let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+        tokio::time::sleep((self.config.token * tokens).mul_f64(factor)).await;
+    }
+
+    fn note_generated(&self, tokens: usize) -> u64 {
+        let mut state = self.state.lock();
+        state.generated += tokens as u64;
+        state.version
+    }
+}
+
+/// The token that every engine makes at place `index` of the answer to `id`.
+#[must_use]
+pub fn token(id: &str, index: usize) -> String {
+    let digest = sha256_hex(format!("{id}/{index}").as_bytes());
+    format!(" {}", &digest[..4])
+}
+
+/// The whole answer of `tokens` tokens to the request `id`.
+#[must_use]
+pub fn answer_text(id: &str, tokens: usize) -> String {
+    (0..tokens).map(|index| token(id, index)).collect()
+}
--- /dev/null
+++ b/src/standin/faults.rs
@@ -0,0 +1,109 @@
+//! Faults of the platform's interfaces, set while it runs.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+
+/// An interface of the platform.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Interface {
+    /// The log service.
+    Log,
+    /// The instance list.
+    Instances,
+    /// The backend server interface.
+    Servers,
+    /// The usage interface.
+    Usage,
+    /// The weight store.
+    Weights,
+}
+
+/// What an interface does wrong. The default is nothing.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call breaks without effect.
+    pub down: bool,
+    /// Milliseconds by which every call is slow.
+    pub slow_ms: u64,
+    /// Calls that take effect and then break without an answer.
+    pub lose_answers: u32,
+    /// Calls that break at once and take effect this many milliseconds later.
+    pub late_ms: u64,
+    /// Milliseconds by which lists lag.
+    pub lag_ms: u64,
+}
+
+/// Who a fault is for: one instance, or all of them.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetFaults {
+    /// The interface.
+    pub interface: Interface,
+    /// The instance whose calls it hits; all when none is named.
+    #[serde(default)]
+    pub instance: Option<String>,
+    /// The faults, in place of earlier ones.
+    pub faults: Faults,
+}
+
+/// The faults in force.
+#[derive(Debug, Default)]
+pub struct FaultTable {
+    table: Mutex<BTreeMap<(Interface, Option<String>), Faults>>,
+}
+
+impl FaultTable {
+    /// Sets faults in place of earlier ones for the same interface and instance.
+    pub fn set(&self, set: SetFaults) {
+        let key = (set.interface, set.instance);
+        self.table.lock().insert(key, set.faults);
+    }
+
+    /// The faults that a call of `instance` meets.
+    #[must_use]
+    pub fn get(&self, interface: Interface, instance: Option<&str>) -> Faults {
+        let table = self.table.lock();
+        let own = instance.and_then(|name| table.get(&(interface, Some(name.to_owned()))));
+        let found = own.or_else(|| table.get(&(interface, None)));
+        found.copied().unwrap_or_default()
+    }
+
+    /// Holds up or breaks a call before it takes effect.
+    ///
+    /// # Errors
+    /// The interface is down for this caller.
+    pub async fn before(&self, interface: Interface, instance: Option<&str>) -> io::Result<Faults> {
+        let faults = self.get(interface, instance);
+        if faults.slow_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if faults.down {
+            return Err(io::Error::other("the interface is down"));
+        }
+        Ok(faults)
+    }
+
+    /// Breaks a call after it took effect, as often as was asked for.
+    ///
+    /// # Errors
+    /// The answer is lost.
+    pub fn after(&self, interface: Interface, instance: Option<&str>) -> io::Result<()> {
+        let mut table = self.table.lock();
+        for name in [instance.map(str::to_owned), None] {
+            let Some(faults) = table.get_mut(&(interface, name)) else {
+                continue;
+            };
+            if faults.lose_answers > 0 {
+                faults.lose_answers -= 1;
+                return Err(io::Error::other("the answer is lost"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/standin/fleet.rs
@@ -0,0 +1,213 @@
+//! The backend servers behind the backend server interface, all in this process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::mpsc;
+
+use crate::wire::{
+    BackendServer, Order, OrderAction, OrderOutcome, OrderResult, Price, ServerList, ServerState,
+};
+
+use super::engine::{Engine, EngineConfig};
+use super::serve::Served;
+use super::service::{self, ServiceRecord};
+use super::weights::WeightStore;
+
+/// What the servers of a pool are.
+#[derive(Clone, Debug)]
+pub enum PoolStandin {
+    /// Engines that start with a model at a weight version.
+    Engine {
+        /// How they behave.
+        config: EngineConfig,
+        /// The model that they hold when they start.
+        model: String,
+        /// Its weight version.
+        version: u64,
+    },
+    /// Plain services.
+    Service {
+        /// Time that each call takes.
+        work: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct Member {
+    listed: BackendServer,
+    engine: Option<Arc<Engine>>,
+    /// Keeps the server's port open; none once it crashed.
+    _served: Option<Served>,
+}
+
+/// All backend servers.
+#[derive(Debug)]
+pub struct Fleet {
+    ip: IpAddr,
+    /// The weight store that engines load from.
+    pub store: Arc<WeightStore>,
+    /// What plain services saw.
+    pub record: Arc<ServiceRecord>,
+    pools: BTreeMap<String, PoolStandin>,
+    members: Mutex<BTreeMap<String, Member>>,
+    results: Mutex<Vec<OrderResult>>,
+    orders: Mutex<Vec<Order>>,
+    sequence: Mutex<u64>,
+}
+
+impl Fleet {
+    /// A fleet with no servers, whose ports open on `ip`.
+    #[must_use]
+    pub fn new(ip: IpAddr, store: WeightStore, pools: BTreeMap<String, PoolStandin>) -> Arc<Self> {
+        Arc::new(Self {
+            ip,
+            store: Arc::new(store),
+            record: Arc::default(),
+            pools,
+            members: Mutex::default(),
+            results: Mutex::default(),
+            orders: Mutex::default(),
+            sequence: Mutex::new(0),
+        })
+    }
+
+    /// Starts one server and returns its id.
+    ///
+    /// # Errors
+    /// The pool is unknown or no port is free.
+    pub async fn start(
+        self: &Arc<Self>,
+        pool: &str,
+        zone: &str,
+        price: Price,
+    ) -> io::Result<String> {
+        let Some(kind) = self.pools.get(pool).cloned() else {
+            return Err(io::Error::other(format!("no pool is named {pool}")));
+        };
+        let id = self.next_id(pool);
+        let address = SocketAddr::new(self.ip, 0);
+        let (engine, served) = match kind {
+            PoolStandin::Engine {
+                config,
+                model,
+                version,
+            } => {
+                let engine = Engine::new(config, Arc::clone(&self.store), self.crasher(&id));
+                engine.set_version(&model, version);
+                let served = engine.serve(address).await?;
+                (Some(engine), served)
+            }
+            PoolStandin::Service { work } => {
+                let record = Arc::clone(&self.record);
+                let served = service::serve(address, id.clone(), record, work).await?;
+                (None, served)
+            }
+        };
+        let listed = BackendServer {
+            address: served.address.to_string(),
+            id: id.clone(),
+            notice_ms: None,
+            pool: pool.to_owned(),
+            price,
+            state: ServerState::Running,
+            zone: zone.to_owned(),
+        };
+        let member = Member {
+            listed,
+            engine,
+            _served: Some(served),
+        };
+        self.members.lock().insert(id.clone(), member);
+        Ok(id)
+    }
+
+    fn next_id(&self, pool: &str) -> String {
+        let mut sequence = self.sequence.lock();
+        *sequence += 1;
+        format!("{pool}-{sequence}")
+    }
+
+    /// A channel whose messages crash the server.
+    fn crasher(self: &Arc<Self>, id: &str) -> mpsc::UnboundedSender<()> {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let (fleet, id) = (Arc::downgrade(self), id.to_owned());
+        tokio::spawn(async move {
+            while receiver.recv().await.is_some() {
+                if let Some(fleet) = fleet.upgrade() {
+                    fleet.crash(&id);
+                }
+            }
+        });
+        sender
+    }
+
+    /// Breaks a server: its port closes and its connections break.
+    pub fn crash(&self, id: &str) {
+        self.members.lock().remove(id);
+    }
+
+    /// Lists servers and the orders that took effect.
+    #[must_use]
+    pub fn list(&self) -> ServerList {
+        let members = self.members.lock();
+        ServerList {
+            orders: self.results.lock().clone(),
+            servers: members
+                .values()
+                .map(|member| member.listed.clone())
+                .collect(),
+        }
+    }
+
+    /// All orders as they came, repeats included.
+    #[must_use]
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.lock().clone()
+    }
+
+    /// Tokens that all engines now running generated.
+    #[must_use]
+    pub fn generated(&self) -> u64 {
+        let members = self.members.lock();
+        let engines = members.values().filter_map(|member| member.engine.as_ref());
+        engines.map(|engine| engine.generated()).sum()
+    }
+
+    /// Carries out an order; a repeated order has the effect of the first.
+    pub async fn order(self: &Arc<Self>, order: Order) -> OrderResult {
+        let known = {
+            let results = self.results.lock();
+            results
+                .iter()
+                .find(|result| result.order == order.id)
+                .cloned()
+        };
+        self.orders.lock().push(order.clone());
+        if let Some(known) = known {
+            return known;
+        }
+        let server = match &order.action {
+            OrderAction::Start { pool, price, zone } => self.start(pool, zone, *price).await.ok(),
+            OrderAction::Stop { server } => {
+                let removed = self.members.lock().remove(server);
+                removed.map(|member| member.listed.id)
+            }
+        };
+        let outcome = match server {
+            Some(_) => OrderOutcome::Applied,
+            None => OrderOutcome::Refused,
+        };
+        let result = OrderResult {
+            order: order.id,
+            outcome,
+            server,
+        };
+        self.results.lock().push(result.clone());
+        result
+    }
+}
--- /dev/null
+++ b/src/standin/log.rs
@@ -0,0 +1,99 @@
+//! The log service: append-only streams in memory, with offsets and retention.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use crate::wire::{LogEntry, LogPage};
+
+/// Records in one page at most.
+const PAGE_MAX: usize = 1_000;
+
+#[derive(Debug, Default)]
+struct Records {
+    first: u64,
+    data: VecDeque<String>,
+}
+
+impl Records {
+    fn next(&self) -> u64 {
+        self.first + self.data.len() as u64
+    }
+}
+
+/// All streams of the log.
+#[derive(Debug)]
+pub struct LogStore {
+    streams: Mutex<BTreeMap<String, Records>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for LogStore {
+    fn default() -> Self {
+        Self {
+            streams: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+}
+
+impl LogStore {
+    /// Appends a record and returns its offset.
+    pub fn append(&self, stream: &str, record: String) -> u64 {
+        let mut streams = self.streams.lock();
+        let records = streams.entry(stream.to_owned()).or_default();
+        let offset = records.next();
+        records.data.push_back(record);
+        drop(streams);
+        self.changed.send_modify(|count| *count += 1);
+        offset
+    }
+
+    /// Drops all but the last `keep` records of a stream.
+    pub fn expire(&self, stream: &str, keep: usize) {
+        let mut streams = self.streams.lock();
+        let records = streams.entry(stream.to_owned()).or_default();
+        while records.data.len() > keep {
+            records.data.pop_front();
+            records.first += 1;
+        }
+    }
+
+    /// Records from an offset on, waiting for the first one.
+    pub async fn read(&self, stream: &str, from: u64, wait: Duration) -> LogPage {
+        let mut changed = self.changed.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            let page = self.page(stream, from);
+            if !page.records.is_empty() {
+                return page;
+            }
+            if tokio::time::timeout_at(deadline, changed.changed())
+                .await
+                .is_err()
+            {
+                return page;
+            }
+        }
+    }
+
+    fn page(&self, stream: &str, from: u64) -> LogPage {
+        let mut streams = self.streams.lock();
+        let records = streams.entry(stream.to_owned()).or_default();
+        let skip = usize::try_from(from.saturating_sub(records.first)).unwrap_or(usize::MAX);
+        let start = records.first.max(from);
+        let entries = records.data.iter().skip(skip).take(PAGE_MAX).zip(start..);
+        LogPage {
+            first: records.first,
+            next: records.next(),
+            records: entries
+                .map(|(data, offset)| LogEntry {
+                    offset,
+                    data: data.clone(),
+                })
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,52 @@
+//! Small stand-ins for the outside systems, for development and tests.
+//!
+//! They are never part of an instance. One process holds the whole platform and the
+//! backend servers; its faults are set by `POST /fault`.
+
+pub mod engine;
+pub mod faults;
+pub mod fleet;
+pub mod log;
+pub mod platform;
+pub mod prefix;
+pub mod serve;
+pub mod service;
+pub mod weights;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::cmd::fail;
+
+/// Runs stand-ins for the systems around basillead.
+#[derive(Debug, Options)]
+struct Args {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "serve the platform's interfaces and backend servers")]
+    Platform(platform::Args),
+}
+
+/// Parses the command line and runs the stand-in that it names.
+#[must_use]
+pub fn main() -> ExitCode {
+    let args = Args::parse_args_default_or_exit();
+    let Some(command) = args.command else {
+        eprintln!("{}", Args::usage());
+        return ExitCode::from(2);
+    };
+    let done = match command {
+        Command::Platform(args) => platform::run(&args),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,291 @@
+//! The platform's interfaces in one process.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gumdrop::Options;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+
+use crate::wire::{Appended, Instance, Price, UsageReport};
+
+use super::engine::EngineConfig;
+use super::faults::{FaultTable, Interface, SetFaults};
+use super::fleet::{Fleet, PoolStandin};
+use super::log::LogStore;
+use super::serve::{self, Answer, Served, json, query, whole};
+use super::weights::WeightStore;
+
+/// Serves the platform's interfaces and backend servers.
+///
+/// Each server is given as POOL:KIND:ZONE:COUNT, where KIND is `engine` or `service`.
+#[derive(Debug, Options)]
+pub struct Args {
+    #[options(help = "print this text")]
+    help: bool,
+    /// Address to listen on.
+    #[options(required, help = "address to listen on, such as 127.0.0.1:9000")]
+    pub listen: String,
+    /// Servers to start.
+    #[options(help = "servers to start, as POOL:KIND:ZONE:COUNT", meta = "SPEC")]
+    pub server: Vec<String>,
+    /// File with the instance list.
+    #[options(help = "JSON file with the instance list")]
+    pub instances: Option<String>,
+    /// Milliseconds for one token.
+    #[options(help = "milliseconds for one token of a lone request", default = "2")]
+    pub token_ms: u64,
+    /// Model that engines hold.
+    #[options(help = "model that engines hold when they start", default = "stroke-1")]
+    pub model: String,
+}
+
+/// The platform.
+#[derive(Debug)]
+pub struct Platform {
+    /// The log service.
+    pub log: LogStore,
+    /// The backend servers.
+    pub fleet: Arc<Fleet>,
+    /// The instance list.
+    pub instances: Mutex<Vec<Instance>>,
+    /// Reports that the usage interface got, in order.
+    pub reports: Mutex<Vec<UsageReport>>,
+    /// The faults in force.
+    pub faults: FaultTable,
+}
+
+impl Platform {
+    /// A platform with this fleet and these instances.
+    #[must_use]
+    pub fn new(fleet: Arc<Fleet>, instances: Vec<Instance>) -> Arc<Self> {
+        Arc::new(Self {
+            log: LogStore::default(),
+            fleet,
+            instances: Mutex::new(instances),
+            reports: Mutex::default(),
+            faults: FaultTable::default(),
+        })
+    }
+
+    /// Serves the interfaces.
+    ///
+    /// # Errors
+    /// The address cannot be bound.
+    pub async fn serve(self: &Arc<Self>, address: SocketAddr) -> io::Result<Served> {
+        let platform = Arc::clone(self);
+        serve::serve(address, move |request| {
+            Arc::clone(&platform).answer(request)
+        })
+        .await
+    }
+
+    /// Answers a call. A path that starts with `/from/NAME` names the calling instance.
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path().to_owned();
+        let (instance, path) = match path.strip_prefix("/from/") {
+            Some(rest) => {
+                let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
+                (Some(name), rest)
+            }
+            None => (None, path.trim_start_matches('/')),
+        };
+        let body = serve::read(body).await?;
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let (page, rest) = path.split_once('/').unwrap_or((path, ""));
+        let call = Call {
+            instance,
+            post: head.method == Method::POST,
+            uri: &head.uri,
+            rest,
+            body,
+        };
+        match page {
+            "log" => self.log_call(call).await,
+            "instances" => self.instances_call(call).await,
+            "servers" => self.servers_call(call).await,
+            "usage" => self.usage_call(call).await,
+            "fault" => Ok(self.fault_call(&call)),
+            "crash" => {
+                self.fleet.crash(rest);
+                Ok(json(&()))
+            }
+            "seen" => Ok(json(&self.fleet.record.seen())),
+            "runs" => Ok(json(&self.fleet.record.runs())),
+            "generated" => Ok(json(&self.fleet.generated())),
+            "orders" => Ok(json(&self.fleet.orders())),
+            _ => Ok(whole(StatusCode::NOT_FOUND, "no such page")),
+        }
+    }
+
+    fn fault_call(&self, call: &Call<'_>) -> Response<serve::Body> {
+        match serde_json::from_str::<SetFaults>(&call.body) {
+            Ok(set) => {
+                self.faults.set(set);
+                json(&())
+            }
+            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
+    async fn log_call(self: Arc<Self>, call: Call<'_>) -> Answer {
+        let faults = self.faults.before(Interface::Log, call.instance).await?;
+        if !call.post {
+            let number = |name| query(call.uri, name).and_then(|text| text.parse().ok());
+            let from = number("from").unwrap_or(0);
+            let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+            return Ok(json(&self.log.read(call.rest, from, wait).await));
+        }
+        if faults.late_ms > 0 {
+            let (platform, stream) = (Arc::clone(&self), call.rest.to_owned());
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(faults.late_ms)).await;
+                platform.log.append(&stream, call.body);
+            });
+            return Err(io::Error::other("the append is late"));
+        }
+        let offset = self.log.append(call.rest, call.body);
+        self.faults.after(Interface::Log, call.instance)?;
+        Ok(json(&Appended { offset }))
+    }
+
+    async fn instances_call(&self, call: Call<'_>) -> Answer {
+        self.faults
+            .before(Interface::Instances, call.instance)
+            .await?;
+        if call.post {
+            match serde_json::from_str(&call.body) {
+                Ok(list) => *self.instances.lock() = list,
+                Err(error) => return Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
+            }
+        }
+        Ok(json(&*self.instances.lock()))
+    }
+
+    async fn servers_call(&self, call: Call<'_>) -> Answer {
+        self.faults
+            .before(Interface::Servers, call.instance)
+            .await?;
+        if !call.post {
+            return Ok(json(&self.fleet.list()));
+        }
+        match serde_json::from_str(&call.body) {
+            Ok(order) => {
+                let result = self.fleet.order(order).await;
+                self.faults.after(Interface::Servers, call.instance)?;
+                Ok(json(&result))
+            }
+            Err(error) => Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
+        }
+    }
+
+    async fn usage_call(&self, call: Call<'_>) -> Answer {
+        self.faults.before(Interface::Usage, call.instance).await?;
+        if !call.post {
+            return Ok(json(&*self.reports.lock()));
+        }
+        match serde_json::from_str(&call.body) {
+            Ok(report) => {
+                self.reports.lock().push(report);
+                self.faults.after(Interface::Usage, call.instance)?;
+                Ok(json(&()))
+            }
+            Err(error) => Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
+        }
+    }
+}
+
+/// One call of the platform.
+struct Call<'a> {
+    instance: Option<&'a str>,
+    post: bool,
+    uri: &'a http::Uri,
+    rest: &'a str,
+    body: String,
+}
+
+/// Serves until the process is told to stop.
+///
+/// # Errors
+/// A malformed argument, or an address that cannot be bound.
+pub fn run(args: &Args) -> io::Result<()> {
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(run_platform(args))
+}
+
+async fn run_platform(args: &Args) -> io::Result<()> {
+    let listen: SocketAddr = args.listen.parse().map_err(io::Error::other)?;
+    let mut specs = Vec::new();
+    for text in &args.server {
+        specs.push(ServerSpec::parse(text)?);
+    }
+    let engine = EngineConfig {
+        token: Duration::from_millis(args.token_ms),
+        ..EngineConfig::default()
+    };
+    let mut pools = BTreeMap::new();
+    for spec in &specs {
+        pools.insert(spec.pool.clone(), spec.standin(engine, &args.model));
+    }
+    let store = WeightStore::new(Duration::from_millis(200));
+    let fleet = Fleet::new(listen.ip(), store, pools);
+    for spec in &specs {
+        for _ in 0..spec.count {
+            fleet.start(&spec.pool, &spec.zone, Price::Regular).await?;
+        }
+    }
+    let instances = match &args.instances {
+        Some(path) => serde_json::from_str(&std::fs::read_to_string(path)?)?,
+        None => Vec::new(),
+    };
+    let platform = Platform::new(fleet, instances);
+    let _served = platform.serve(listen).await?;
+    crate::util::stop_signal().await
+}
+
+/// Servers of one pool in one availability zone.
+#[derive(Debug)]
+struct ServerSpec {
+    pool: String,
+    is_engine: bool,
+    zone: String,
+    count: u32,
+}
+
+impl ServerSpec {
+    fn parse(text: &str) -> io::Result<Self> {
+        let malformed = || io::Error::other(format!("{text}: expected POOL:KIND:ZONE:COUNT"));
+        let parts: Vec<&str> = text.split(':').collect();
+        let [pool, kind, zone, count] = parts[..] else {
+            return Err(malformed());
+        };
+        if kind != "engine" && kind != "service" {
+            return Err(malformed());
+        }
+        Ok(Self {
+            pool: pool.to_owned(),
+            is_engine: kind == "engine",
+            zone: zone.to_owned(),
+            count: count.parse().map_err(|_| malformed())?,
+        })
+    }
+
+    fn standin(&self, config: EngineConfig, model: &str) -> PoolStandin {
+        if self.is_engine {
+            let model = model.to_owned();
+            return PoolStandin::Engine {
+                config,
+                model,
+                version: 1,
+            };
+        }
+        PoolStandin::Service {
+            work: Duration::from_millis(1),
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/prefix.rs
@@ -0,0 +1,62 @@
+//! An engine's prefix cache: blocks of prompt words, the least recently used go first.
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
+/// Words in one block.
+pub const BLOCK_WORDS: usize = 16;
+
+/// A cache of prompt blocks.
+#[derive(Debug)]
+pub struct PrefixCache {
+    limit: usize,
+    tick: u64,
+    blocks: HashMap<u64, u64>,
+}
+
+impl PrefixCache {
+    /// An empty cache of at most `limit` blocks.
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            limit,
+            tick: 0,
+            blocks: HashMap::new(),
+        }
+    }
+
+    /// Looks a prompt up and caches it; returns the words that were cached before.
+    pub fn visit(&mut self, prompt: &str) -> usize {
+        let hashes = block_hashes(prompt);
+        let known = |hash: &&u64| self.blocks.contains_key(*hash);
+        let hit = hashes.iter().take_while(known).count();
+        for hash in hashes {
+            self.tick += 1;
+            self.blocks.insert(hash, self.tick);
+        }
+        while self.blocks.len() > self.limit {
+            self.evict();
+        }
+        hit * BLOCK_WORDS
+    }
+
+    fn evict(&mut self) {
+        let oldest = self.blocks.iter().min_by_key(|(_, tick)| **tick);
+        if let Some(hash) = oldest.map(|(hash, _)| *hash) {
+            self.blocks.remove(&hash);
+        }
+    }
+}
+
+/// One hash for each whole block, which covers all blocks before it too.
+#[must_use]
+pub fn block_hashes(prompt: &str) -> Vec<u64> {
+    let words: Vec<&str> = prompt.split_whitespace().collect();
+    let mut hasher = DefaultHasher::new();
+    let mut all = Vec::new();
+    for block in words.chunks_exact(BLOCK_WORDS) {
+        block.hash(&mut hasher);
+        all.push(hasher.finish());
+    }
+    all
+}
--- /dev/null
+++ b/src/util.rs
@@ -0,0 +1,55 @@
+//! Small helpers that several modules share.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Bytes of randomness in an identifier.
+const ID_BYTES: usize = 12;
+
+/// A random identifier in hex, 24 characters long.
+#[must_use]
+pub fn random_id() -> String {
+    use std::fmt::Write as _;
+    let bytes: [u8; ID_BYTES] = rand::random();
+    let mut text = String::with_capacity(ID_BYTES * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// The wall clock in milliseconds since the Unix epoch.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The monotonic instant that stands for a Unix time in milliseconds.
+#[must_use]
+pub fn instant_of(unix: u64) -> Instant {
+    let left = unix.saturating_sub(unix_ms());
+    Instant::now() + Duration::from_millis(left)
+}
+
+/// Milliseconds of a duration, saturating.
+#[must_use]
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+/// The signal handlers cannot be set.
+pub async fn stop_signal() -> std::io::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,18 @@
+//! Typed messages at the borders of the processes.
+//!
+//! The types come from `schema/wire.json` by `schema/generate.sh`. JSON carries them to
+//! callers, operators and the platform; CBOR carries them between daemons.
+
+#[expect(clippy::pedantic, missing_docs, reason = "generated code")]
+mod generated;
+
+pub use generated::{
+    Address, Addresses, Appended, BackendServer, ConfigBody, ConfigRecord, ConfigSnapshot, Crash,
+    Daemon, Digest, EngineChunk, EngineLoad, EngineOrder, EngineRequest, Finding, Header, Instance,
+    InstanceState, InstanceStatus, KeyEntry, LeaseBody, LeaseHeld, LeaseRecord, LogEntry, LogPage,
+    OnceAnswer, OnceRequest, Order, OrderAction, OrderBody, OrderOutcome, OrderRecord, OrderResult,
+    PeerMessage, Price, Problem, Published, Pull, Pulled, Role, RoundEntry, RoundSpec, Run, Sample,
+    SampleAnswer, SampleRequest, Segment, ServerList, ServerLoad, ServerState, ServerStatus,
+    SessionOpen, SessionOpened, Slot, Status, TenantDemand, UsageBody, UsageCount, UsageLine,
+    UsageRecord, UsageReport, UsageUnit, Verdict,
+};
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,68 @@
+//! The whole path of a request, through separate processes.
+#![cfg(feature = "standin")]
+
+mod workdir;
+
+use basillead::standin::engine::answer_text;
+use http::{Method, StatusCode};
+use workdir::{MANIFEST, Workdir};
+
+const SERVERS: [&str; 4] = [
+    "--server",
+    "engines:engine:z0:1",
+    "--server",
+    "desk:service:z0:1",
+];
+
+#[test]
+fn path_serves_completion_and_call() {
+    let dir = Workdir::new("path");
+    let _platform = dir.platform(1, 1, &SERVERS);
+    let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
+    dir.publish(MANIFEST);
+    let key = dir.grant("desk");
+    let url = format!("{}/v1/completions", dir.entry_url(0));
+    let body = r#"{"model":"stroke-1","prompt":"one two","max_tokens":10,"stream":true}"#;
+
+    let refused = dir
+        .call(Method::POST, &url, None, &[], body)
+        .expect("an answer");
+    assert_eq!(refused.status(), StatusCode::UNAUTHORIZED);
+    let problem: serde_json::Value = serde_json::from_slice(refused.body()).expect("a problem");
+    assert_eq!(problem["run"], "not-run");
+
+    workdir::wait_until("the key works", || {
+        let answer = dir.call(Method::POST, &url, Some(&key), &[], body);
+        answer.is_some_and(|answer| answer.status() == StatusCode::OK)
+    });
+    let answer = dir
+        .call(Method::POST, &url, Some(&key), &[], body)
+        .expect("an answer");
+    let (id, text) = streamed_text(answer.body());
+    assert_eq!(text, answer_text(&id, 10));
+
+    let orders = format!("{}/orders/7", dir.entry_url(0));
+    let answer = dir
+        .call(Method::POST, &orders, Some(&key), &[], "order 7")
+        .expect("an answer");
+    assert_eq!(answer.status(), StatusCode::OK);
+    let receipt: serde_json::Value = serde_json::from_slice(answer.body()).expect("a receipt");
+    assert_eq!(receipt["line"], "POST /orders/7");
+    assert_eq!(receipt["body"], "order 7");
+    assert_eq!(receipt["run"], 1);
+}
+
+/// The id and the text of a streamed answer, which must end with `[DONE]`.
+fn streamed_text(body: &[u8]) -> (String, String) {
+    let text = String::from_utf8_lossy(body);
+    let mut id = String::new();
+    let mut whole = String::new();
+    assert!(text.trim_end().ends_with("data: [DONE]"), "cut: {text}");
+    for event in text.lines().filter_map(|line| line.strip_prefix("data: {")) {
+        let event: serde_json::Value = serde_json::from_str(&format!("{{{event}")).expect("JSON");
+        event["id"].as_str().expect("an id").clone_into(&mut id);
+        whole.push_str(event["choices"][0]["text"].as_str().expect("a text"));
+    }
+    (id, whole)
+}
--- /dev/null
+++ b/tests/workdir/mod.rs
@@ -0,0 +1,391 @@
+//! Runs the real programs in a scratch directory, on a loopback address of its own.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::io::Read as _;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::{Duration, Instant};
+
+use basillead::http::Client;
+use bytes::Bytes;
+use http::{Method, Request, Response};
+use serde::de::DeserializeOwned;
+use tempfile::TempDir;
+
+/// Longest wait for a condition, unless a test states its own bound.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// The operator's key of every test instance.
+pub const OPERATOR_KEY: &str = "operator-secret";
+/// The peers' secret of every test instance.
+pub const PEER_SECRET: &str = "peer-secret";
+
+const PLATFORM_PORT: u16 = 9_000;
+const ENTRY_PORT: u16 = 7_000;
+const CONTROL_PORT: u16 = 7_200;
+const ENTRY_PEER_PORT: u16 = 7_400;
+const CONTROL_PEER_PORT: u16 = 7_600;
+
+/// A manifest with one engine pool, one service pool and two tenants.
+pub const MANIFEST: &str = r#"
+base = 0
+[limits]
+address_ms = 1000
+[[tenants]]
+name = "desk"
+weight = 2
+[[tenants]]
+name = "stroke"
+[[pools]]
+name = "engines"
+kind = "engine"
+checks_fence = true
+[[pools]]
+name = "desk"
+kind = "service"
+[[models]]
+name = "stroke-1"
+pool = "engines"
+version = 1
+[[routes]]
+path = "/orders"
+pool = "desk"
+[[routes]]
+path = "/look"
+pool = "desk"
+repeatable = true
+[[routes]]
+path = "/open"
+pool = "desk"
+open = true
+repeatable = true
+"#;
+
+/// A child process that is killed when it is dropped.
+#[derive(Debug)]
+pub struct Process(pub Child);
+
+impl Process {
+    /// Sends a signal by name, such as `STOP`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.0.id().to_string();
+        let done = Command::new("kill")
+            .args([&format!("-{name}"), &pid])
+            .status();
+        assert!(
+            done.is_ok_and(|status| status.success()),
+            "kill -{name} {pid}"
+        );
+    }
+
+    /// Waits until the process ends.
+    pub fn wait(&mut self, limit: Duration) -> std::process::ExitStatus {
+        let until = Instant::now() + limit;
+        loop {
+            if let Some(status) = self.0.try_wait().expect("the process can be waited for") {
+                return status;
+            }
+            assert!(
+                Instant::now() < until,
+                "the process did not end in {limit:?}"
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// A scratch directory with a loopback address that no other test uses.
+#[derive(Debug)]
+pub struct Workdir {
+    dir: TempDir,
+    ip: IpAddr,
+    pub client: Client,
+    pub runtime: tokio::runtime::Runtime,
+}
+
+static COUNT: AtomicU16 = AtomicU16::new(0);
+
+impl Workdir {
+    /// A new directory; `name` shows in its path.
+    pub fn new(name: &str) -> Self {
+        let dir = tempfile::Builder::new().prefix(name).tempdir();
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        // The address holds the process id, so that tests of other processes stay apart.
+        let [_, a, b, c] = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, 64 + (a & 0x3f), b, c)
+            .to_bits()
+            .wrapping_add(u32::from(count) << 16);
+        let ip = Ipv4Addr::from_bits(ip);
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build();
+        Self {
+            dir: dir.expect("a scratch directory"),
+            ip: IpAddr::V4(Ipv4Addr::new(
+                127,
+                ip.octets()[1],
+                ip.octets()[2],
+                ip.octets()[3],
+            )),
+            client: Client::new(),
+            runtime: runtime.expect("a runtime"),
+        }
+    }
+
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.dir.path().join(name)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.path(name);
+        std::fs::write(&path, text).expect("a file in the scratch directory");
+        path
+    }
+
+    fn address(&self, port: u16, n: usize) -> SocketAddr {
+        SocketAddr::new(self.ip, port + u16::try_from(n).expect("a small number"))
+    }
+
+    pub fn platform_url(&self) -> String {
+        format!("http://{}", self.address(PLATFORM_PORT, 0))
+    }
+
+    pub fn entry_url(&self, n: usize) -> String {
+        format!("http://{}", self.address(ENTRY_PORT, n))
+    }
+
+    pub fn control_url(&self, n: usize) -> String {
+        format!("http://{}", self.address(CONTROL_PORT, n))
+    }
+
+    /// The instance list for `count` instances, spread over `zones` zones.
+    pub fn instances(&self, count: usize, zones: usize) -> serde_json::Value {
+        let one = |n: usize| {
+            serde_json::json!({
+                "id": format!("i{n}"), "region": "r", "zone": zone(n, zones),
+                "entry": self.address(ENTRY_PORT, n).to_string(),
+                "control": self.address(CONTROL_PORT, n).to_string(),
+                "entry_peer": self.address(ENTRY_PEER_PORT, n).to_string(),
+                "control_peer": self.address(CONTROL_PEER_PORT, n).to_string(),
+                "state": "live",
+            })
+        };
+        (0..count).map(one).collect()
+    }
+
+    /// Writes the settings of instance `n`, in one of `zones` zones.
+    pub fn settings(&self, n: usize, zones: usize) -> PathBuf {
+        self.write("operator.key", OPERATOR_KEY);
+        self.write("peer.key", PEER_SECRET);
+        let platform = format!("{}/from/i{n}", self.platform_url());
+        let text = format!(
+            r#"
+instance = "i{n}"
+region = "r"
+zone = "{zone}"
+[entry]
+http = "{entry}"
+peer = "{entry_peer}"
+[control]
+http = "{control}"
+peer = "{control_peer}"
+[platform]
+log = "{platform}/log"
+instances = "{platform}/instances"
+servers = "{platform}/servers"
+usage = "{platform}/usage"
+weights = "{platform}/weights"
+[secrets]
+peer = "peer.key"
+operator = "operator.key"
+[log]
+format = "text"
+level = "info"
+"#,
+            zone = zone(n, zones),
+            entry = self.address(ENTRY_PORT, n),
+            entry_peer = self.address(ENTRY_PEER_PORT, n),
+            control = self.address(CONTROL_PORT, n),
+            control_peer = self.address(CONTROL_PEER_PORT, n),
+        );
+        self.write(&format!("i{n}.toml"), &text)
+    }
+
+    /// Starts a program; what it writes to standard error goes to `NAME.log`.
+    pub fn spawn(&self, program: &str, args: &[&str], name: &str) -> Process {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.path(&format!("{name}.log")))
+            .expect("a log file");
+        let child = Command::new(program)
+            .args(args)
+            .current_dir(self.dir.path())
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn();
+        Process(child.expect("the program starts"))
+    }
+
+    /// Starts the platform and its backend servers with further arguments.
+    pub fn platform(&self, instances: usize, zones: usize, args: &[&str]) -> Process {
+        let list = self.instances(instances, zones).to_string();
+        let list = self.write("instances.json", &list);
+        let listen = self.address(PLATFORM_PORT, 0).to_string();
+        let mut all = vec!["platform", "--listen", &listen, "--instances"];
+        all.push(list.to_str().expect("a UTF-8 path"));
+        all.extend_from_slice(args);
+        let process = self.spawn(env!("CARGO_BIN_EXE_basillead-standin"), &all, "platform");
+        self.wait_http(&format!("{}/servers", self.platform_url()));
+        process
+    }
+
+    /// Starts the entry of instance `n`.
+    pub fn entry(&self, n: usize, zones: usize) -> Process {
+        let settings = self.settings(n, zones);
+        let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
+        let program = env!("CARGO_BIN_EXE_basillead-entry");
+        let process = self.spawn(program, &args, &format!("entry{n}"));
+        self.wait_http(&format!("{}/healthz", self.entry_url(n)));
+        process
+    }
+
+    /// Starts the control daemon of instance `n`.
+    pub fn control(&self, n: usize, zones: usize) -> Process {
+        let settings = self.settings(n, zones);
+        let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
+        let program = env!("CARGO_BIN_EXE_basillead-control");
+        let process = self.spawn(program, &args, &format!("control{n}"));
+        self.wait_http(&format!("{}/healthz", self.control_url(n)));
+        process
+    }
+
+    /// Waits until a page answers.
+    pub fn wait_http(&self, url: &str) {
+        wait_until(url, || {
+            self.get(url)
+                .is_some_and(|answer| answer.status().is_success())
+        });
+    }
+
+    /// Runs the command line against control daemon 0.
+    pub fn basillead(&self, args: &[&str]) -> Output {
+        let control = self.control_url(0);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_basillead"));
+        command.args(args).current_dir(self.dir.path());
+        if !args.starts_with(&["check"]) {
+            command.args(["--control", &control, "--key-file", "operator.key"]);
+        }
+        command.output().expect("the command line runs")
+    }
+
+    /// Publishes a manifest, which must be accepted.
+    pub fn publish(&self, manifest: &str) -> Output {
+        self.write("manifest.toml", manifest);
+        let output = self.basillead(&["publish", "manifest.toml"]);
+        assert!(output.status.success(), "publish: {}", show(&output));
+        output
+    }
+
+    /// Grants a key to a tenant.
+    pub fn grant(&self, tenant: &str) -> String {
+        let output = self.basillead(&["key", "grant", "--tenant", tenant]);
+        let text = show(&output);
+        let key = text.lines().find_map(|line| line.strip_prefix("key: "));
+        key.unwrap_or_else(|| panic!("no key: {text}")).to_owned()
+    }
+
+    pub fn get(&self, url: &str) -> Option<Response<Bytes>> {
+        self.call(Method::GET, url, None, &[], "")
+    }
+
+    /// Calls a page and reads the whole answer; none when there was no answer.
+    pub fn call(
+        &self,
+        method: Method,
+        url: &str,
+        key: Option<&str>,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Response<Bytes>> {
+        let mut request = Request::builder().method(method).uri(url);
+        if let Some(key) = key {
+            request = request.header("authorization", format!("Bearer {key}"));
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .body(Bytes::from(body.to_owned()))
+            .expect("a request");
+        self.runtime
+            .block_on(self.client.fetch(request, PATIENCE))
+            .ok()
+    }
+
+    /// Sends JSON to the platform's own control pages.
+    pub fn platform_post(&self, page: &str, body: &serde_json::Value) {
+        let url = format!("{}/{page}", self.platform_url());
+        let answer = self.call(Method::POST, &url, None, &[], &body.to_string());
+        assert!(
+            answer.is_some_and(|answer| answer.status().is_success()),
+            "{page}"
+        );
+    }
+
+    /// Reads JSON from the platform's own control pages.
+    pub fn platform_get<T: DeserializeOwned>(&self, page: &str) -> T {
+        let url = format!("{}/{page}", self.platform_url());
+        let answer = self.get(&url).expect("the platform answers");
+        serde_json::from_slice(answer.body()).expect("the platform's JSON")
+    }
+
+    /// What a daemon wrote to its log.
+    pub fn log(&self, name: &str) -> String {
+        let mut text = String::new();
+        let file = std::fs::File::open(self.path(&format!("{name}.log")));
+        let _ = file.map(|mut file| file.read_to_string(&mut text));
+        text
+    }
+}
+
+fn zone(n: usize, zones: usize) -> String {
+    format!("z{}", n % zones)
+}
+
+/// Both outputs of a program as text.
+pub fn show(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout);
+    let err = String::from_utf8_lossy(&output.stderr);
+    format!("{out}{err}")
+}
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    wait_within(what, PATIENCE, &mut condition);
+}
+
+/// Waits until a condition holds, at most `limit`.
+pub fn wait_within(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
+    let until = Instant::now() + limit;
+    while !condition() {
+        assert!(Instant::now() < until, "not within {limit:?}: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// The path of a file in the package.
+pub fn package_file(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+}
