--- a/tests/path.rs
+++ b/tests/suite/path.rs
@@ -1,11 +1,8 @@
 //! The whole path of a request, through separate processes.
-#![cfg(feature = "standin")]
-
-mod workdir;
 
+use crate::workdir::{MANIFEST, Workdir, wait_until};
 use basillead::standin::engine::answer_text;
 use http::{Method, StatusCode};
-use workdir::{MANIFEST, Workdir};
 
 const SERVERS: [&str; 4] = [
     "--server",
@@ -32,7 +29,7 @@
     let problem: serde_json::Value = serde_json::from_slice(refused.body()).expect("a problem");
     assert_eq!(problem["run"], "not-run");
 
-    workdir::wait_until("the key works", || {
+    wait_until("the key works", || {
         let answer = dir.call(Method::POST, &url, Some(&key), &[], body);
         answer.is_some_and(|answer| answer.status() == StatusCode::OK)
     });
--- a/tests/workdir/mod.rs
+++ b/tests/suite/workdir.rs
@@ -1,7 +1,5 @@
 //! Runs the real programs in a scratch directory, on a loopback address of its own.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
-
 use std::io::Read as _;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
