--- a/tests/suite/path.rs
+++ b/tests/suite/path.rs
@@ -1,47 +1,26 @@
 //! The whole path of a request, through separate processes.
 
-use crate::workdir::{MANIFEST, Workdir, wait_until};
 use basillead::standin::engine::answer_text;
 use http::{Method, StatusCode};
 
-const SERVERS: [&str; 4] = [
-    "--server",
-    "engines:engine:z0:1",
-    "--server",
-    "desk:service:z0:1",
-];
+use crate::workdir::{Small, Workdir};
 
 #[test]
 fn path_serves_completion_and_call() {
     let dir = Workdir::new("path");
-    let _platform = dir.platform(1, 1, &SERVERS);
-    let _control = dir.control(0, 1);
-    let _entry = dir.entry(0, 1);
-    dir.publish(MANIFEST);
-    let key = dir.grant("desk");
+    let small = Small::start(&dir);
     let url = format!("{}/v1/completions", dir.entry_url(0));
     let body = r#"{"model":"stroke-1","prompt":"one two","max_tokens":10,"stream":true}"#;
 
-    let refused = dir
-        .call(Method::POST, &url, None, &[], body)
-        .expect("an answer");
-    assert_eq!(refused.status(), StatusCode::UNAUTHORIZED);
-    let problem: serde_json::Value = serde_json::from_slice(refused.body()).expect("a problem");
-    assert_eq!(problem["run"], "not-run");
-
-    wait_until("the key works", || {
-        let answer = dir.call(Method::POST, &url, Some(&key), &[], body);
-        answer.is_some_and(|answer| answer.status() == StatusCode::OK)
-    });
     let answer = dir
-        .call(Method::POST, &url, Some(&key), &[], body)
+        .call(Method::POST, &url, Some(&small.key), &[], body)
         .expect("an answer");
     let (id, text) = streamed_text(answer.body());
     assert_eq!(text, answer_text(&id, 10));
 
     let orders = format!("{}/orders/7", dir.entry_url(0));
     let answer = dir
-        .call(Method::POST, &orders, Some(&key), &[], "order 7")
+        .call(Method::POST, &orders, Some(&small.key), &[], "order 7")
         .expect("an answer");
     assert_eq!(answer.status(), StatusCode::OK);
     let receipt: serde_json::Value = serde_json::from_slice(answer.body()).expect("a receipt");
@@ -50,6 +29,20 @@
     assert_eq!(receipt["run"], 1);
 }
 
+#[test]
+fn path_refuses_without_key() {
+    let dir = Workdir::new("refuse");
+    let _small = Small::start(&dir);
+    let url = format!("{}/v1/completions", dir.entry_url(0));
+    let body = r#"{"model":"stroke-1","prompt":"one two"}"#;
+    let refused = dir
+        .call(Method::POST, &url, None, &[], body)
+        .expect("an answer");
+    assert_eq!(refused.status(), StatusCode::UNAUTHORIZED);
+    let problem: serde_json::Value = serde_json::from_slice(refused.body()).expect("a problem");
+    assert_eq!(problem["run"], "not-run");
+}
+
 /// The id and the text of a streamed answer, which must end with `[DONE]`.
 fn streamed_text(body: &[u8]) -> (String, String) {
     let text = String::from_utf8_lossy(body);
--- /dev/null
+++ b/tests/suite/stop.rs
@@ -0,0 +1,29 @@
+//! Stopping and outages of what surrounds a daemon.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+
+use crate::workdir::{Small, Workdir};
+
+#[test]
+fn stop_idle_daemons() {
+    let dir = Workdir::new("stop");
+    let mut small = Small::start(&dir);
+    for process in [&mut small.entry, &mut small.control] {
+        process.signal("TERM");
+        assert!(process.wait(Duration::from_secs(10)).success());
+    }
+}
+
+#[test]
+fn stop_server_list_outage() {
+    let dir = Workdir::new("outage");
+    let small = Small::start(&dir);
+    let fault = serde_json::json!({"interface": "servers", "faults": {"down": true}});
+    dir.platform_post("fault", &fault);
+    std::thread::sleep(Duration::from_secs(2));
+    let url = format!("{}/look", dir.entry_url(0));
+    let answer = dir.call(Method::GET, &url, Some(&small.key), &[], "");
+    assert_eq!(answer.expect("an answer").status(), StatusCode::OK);
+}
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read as _;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
@@ -383,7 +383,42 @@
     }
 }
 
-/// The path of a file in the package.
-pub fn package_file(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
+/// A platform, one control daemon and one entry with the test manifest in force.
+#[derive(Debug)]
+pub struct Small {
+    _platform: Process,
+    pub control: Process,
+    pub entry: Process,
+    /// A key of the tenant `desk` that works.
+    pub key: String,
+}
+
+/// Servers of a small platform: one engine and one plain service.
+pub const SMALL_SERVERS: [&str; 4] = [
+    "--server",
+    "engines:engine:z0:1",
+    "--server",
+    "desk:service:z0:1",
+];
+
+impl Small {
+    /// Starts everything and waits until the key works.
+    pub fn start(dir: &Workdir) -> Self {
+        let platform = dir.platform(1, 1, &SMALL_SERVERS);
+        let control = dir.control(0, 1);
+        let entry = dir.entry(0, 1);
+        dir.publish(MANIFEST);
+        let key = dir.grant("desk");
+        let url = format!("{}/look", dir.entry_url(0));
+        wait_until("the key works", || {
+            let answer = dir.call(Method::GET, &url, Some(&key), &[], "");
+            answer.is_some_and(|answer| answer.status() == http::StatusCode::OK)
+        });
+        Self {
+            _platform: platform,
+            control,
+            entry,
+            key,
+        }
+    }
 }
