Refuse paths with dot segments, and prove bad input with a table

Cause: a table test of bad input found that /open/../orders/1 fell under the open route, so a caller without a key could reach a keyed route of a service that resolves dot segments.

Ruled out: normalising the path, since a service may decode it once more than we do.

Before: 200 from the service, for the plain and the percent-encoded form.

--- a/src/entry/leak.rs
+++ b/src/entry/leak.rs
@@ -6,6 +6,8 @@
 
 use crate::http::{Refusal, RefusalKind};
 
+use super::path::percent_decoded;
+
 /// How every key starts.
 pub const KEY_PREFIX: &str = "blk_";
 /// Hex digits after the prefix.
@@ -37,26 +39,6 @@
     })
 }
 
-/// The bytes with `%41` and the like decoded; none when there is nothing to decode.
-fn percent_decoded(bytes: &[u8]) -> Option<Vec<u8>> {
-    if !bytes.contains(&b'%') {
-        return None;
-    }
-    let mut decoded = Vec::with_capacity(bytes.len());
-    let mut rest = bytes;
-    while let Some((&byte, tail)) = rest.split_first() {
-        let hex = tail.get(..2).filter(|_| byte == b'%').and_then(hex_byte);
-        decoded.push(hex.unwrap_or(byte));
-        rest = if hex.is_some() { &tail[2..] } else { tail };
-    }
-    Some(decoded)
-}
-
-fn hex_byte(digits: &[u8]) -> Option<u8> {
-    let text = std::str::from_utf8(digits).ok()?;
-    u8::from_str_radix(text, 16).ok()
-}
-
 /// Refuses a text or body that contains a key.
 ///
 /// # Errors
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod generate;
 mod leak;
 mod metrics;
+mod path;
 mod plain;
 mod sample;
 mod serve;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -14,7 +14,7 @@
 use super::Entry;
 use super::api::Call;
 use super::plain::{self, PlainCall};
-use super::{address, auth, sample, stream};
+use super::{address, auth, path, sample, stream};
 
 /// Age after which the configuration no longer counts as fresh.
 const FRESH_FOR: Duration = Duration::from_secs(3);
@@ -140,6 +140,7 @@
     let state = entry.config.state();
     check_headers(&state, head)?;
     let path = head.uri.path();
+    path::check(path)?;
     let Some(route) = state.manifest.route(path) else {
         let detail = format!("no route for {path}");
         return Err(Refusal::not_run(RefusalKind::NotFound, detail));
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests that run the real programs; one file for each command or family of faults.
 #![cfg(feature = "standin")]
 
+mod bad_input;
 mod leak;
 mod path;
 mod stop;
