Answer early refusals without losing them, and check, describe and export all fields

A request refused before its body was read left bytes unread; the server closed that connection without saying so, and the client's next request on it broke. Cases before the failing ones were all refused early, which showed the pattern.

Ruled out: the client's pool (it reuses only what the server keeps open), load on the machine (the same four pairs failed).

Change: the rest of a refused body is read within 4 MiB and 200 ms; past that the answer says 'connection: close'.

--- a/src/checked/mod.rs
+++ b/src/checked/mod.rs
@@ -1,30 +1,44 @@
 //! Reads TOML strictly and collects every finding with its place.
 
+mod schema;
 mod table;
 
 use std::fmt;
+use std::path::Path;
 
 use crate::wire::Finding;
 
+pub use schema::{Field, FieldKind, json_schema};
 pub use table::Table;
 
 /// All findings of one text. It is never empty when it is returned as an error.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Findings(pub Vec<Finding>);
 
-impl fmt::Display for Findings {
+impl Findings {
+    /// The findings, one on each line, with the name of the file that they are in.
+    #[must_use]
+    pub fn in_file(&self, file: &Path) -> String {
+        let file = file.display();
+        let lines = self.0.iter().map(|finding| format!("{file}:{finding}"));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+}
+
+impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (n, finding) in self.0.iter().enumerate() {
-            let newline = if n == 0 { "" } else { "\n" };
-            let Finding {
-                line,
-                column,
-                field,
-                message,
-            } = finding;
-            write!(f, "{newline}{line}:{column}: {field}: {message}")?;
+        write!(f, "{}:{}: ", self.line, self.column)?;
+        if !self.field.is_empty() {
+            write!(f, "{}: ", self.field)?;
         }
-        Ok(())
+        f.write_str(&self.message)
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.0.iter().map(ToString::to_string).collect();
+        f.write_str(&lines.join("\n"))
     }
 }
 
@@ -54,3 +68,13 @@
         Err(findings)
     }
 }
+
+/// The fields that `read` takes, found by reading a text without any.
+pub fn fields<T>(read: impl FnOnce(&Table<'_>) -> T) -> Vec<Field> {
+    let source = table::Source::recording();
+    let nothing = toml::de::DeTable::new();
+    let table = Table::root(&source, &nothing);
+    read(&table);
+    drop(table);
+    source.into_fields()
+}
--- a/src/checked/table.rs
+++ b/src/checked/table.rs
@@ -7,6 +7,7 @@
 use toml::de::{DeTable, DeValue};
 
 use super::Findings;
+use super::schema::{Field, FieldKind};
 use crate::wire::Finding;
 
 /// The text that is read, with what was found in it so far.
@@ -14,6 +15,9 @@
 pub(super) struct Source<'t> {
     text: &'t str,
     findings: RefCell<Vec<Finding>>,
+    /// Collects the fields that are read, when a schema is made.
+    fields: Option<RefCell<Vec<Field>>>,
+    nothing: DeTable<'t>,
 }
 
 impl<'t> Source<'t> {
@@ -21,9 +25,23 @@
         Self {
             text,
             findings: RefCell::default(),
+            fields: None,
+            nothing: DeTable::new(),
         }
     }
 
+    /// A source without text that collects the fields that are read.
+    pub(super) fn recording() -> Self {
+        Self {
+            fields: Some(RefCell::default()),
+            ..Self::new("")
+        }
+    }
+
+    pub(super) fn into_fields(self) -> Vec<Field> {
+        self.fields.map(RefCell::into_inner).unwrap_or_default()
+    }
+
     /// Records a finding at the byte offset `at`.
     pub(super) fn report(&self, at: usize, field: &str, message: &str) {
         let before = &self.text[..at.min(self.text.len())];
@@ -88,6 +106,24 @@
         self.source.report(at, &self.field(key), message);
     }
 
+    /// Notes that the field `key` is read, when a schema is made.
+    fn note(&self, key: &str, kind: FieldKind, required: bool) {
+        if let Some(fields) = &self.source.fields {
+            fields.borrow_mut().push(Field {
+                path: self.field(key),
+                kind,
+                required,
+            });
+        }
+    }
+
+    /// A table without fields in place of one that is not there, when a schema is made.
+    fn recorded(&self, path: String) -> Option<Table<'t>> {
+        let source = self.source;
+        let recorded = Self::new(source, path, 0, &source.nothing);
+        source.fields.is_some().then_some(recorded)
+    }
+
     fn get(&self, key: &str) -> Option<&'t DeValue<'t>> {
         self.seen.borrow_mut().insert(key.to_owned());
         self.items.get(key).map(toml::Spanned::get_ref)
@@ -105,6 +141,11 @@
     /// An optional text.
     #[must_use]
     pub fn text_opt(&self, key: &str) -> Option<String> {
+        self.note(key, FieldKind::Text, false);
+        self.text_value(key)
+    }
+
+    fn text_value(&self, key: &str) -> Option<String> {
         let value = self.get(key)?;
         let text = value.as_str();
         if text.is_none() {
@@ -116,10 +157,11 @@
     /// A text that must be there and must not be empty; empty when it is not.
     #[must_use]
     pub fn text(&self, key: &str) -> String {
+        self.note(key, FieldKind::Text, true);
         if self.get(key).is_none() {
             self.missing(key, "a text");
         }
-        let text = self.text_opt(key).unwrap_or_default();
+        let text = self.text_value(key).unwrap_or_default();
         if text.is_empty()
             && self
                 .items
@@ -134,6 +176,11 @@
     /// An optional whole number within `range`.
     #[must_use]
     pub fn number_opt(&self, key: &str, range: &RangeInclusive<u64>) -> Option<u64> {
+        self.note(key, FieldKind::number(range, None), false);
+        self.number_value(key, range)
+    }
+
+    fn number_value(&self, key: &str, range: &RangeInclusive<u64>) -> Option<u64> {
         let value = self.get(key)?;
         let Some(integer) = value.as_integer() else {
             self.wrong_type(key, "a whole number", value);
@@ -152,22 +199,25 @@
     /// A whole number that must be there; the range's start when it is not.
     #[must_use]
     pub fn number(&self, key: &str, range: &RangeInclusive<u64>) -> u64 {
+        self.note(key, FieldKind::number(range, None), true);
         if self.get(key).is_none() {
             let (low, high) = (range.start(), range.end());
             self.missing(key, &format!("a whole number, {low} to {high}"));
         }
-        self.number_opt(key, range).unwrap_or(*range.start())
+        self.number_value(key, range).unwrap_or(*range.start())
     }
 
     /// A whole number with a default.
     #[must_use]
     pub fn number_or(&self, key: &str, default: u64, range: &RangeInclusive<u64>) -> u64 {
-        self.number_opt(key, range).unwrap_or(default)
+        self.note(key, FieldKind::number(range, Some(default)), false);
+        self.number_value(key, range).unwrap_or(default)
     }
 
     /// True or false, with a default.
     #[must_use]
     pub fn flag_or(&self, key: &str, default: bool) -> bool {
+        self.note(key, FieldKind::Flag { default }, false);
         let Some(value) = self.get(key) else {
             return default;
         };
@@ -181,7 +231,9 @@
     /// One of a closed set of words, with a default.
     #[must_use]
     pub fn choice_or<T: Copy>(&self, key: &str, default: T, choices: &[(&str, T)]) -> T {
-        let Some(word) = self.text_opt(key) else {
+        let words = choices.iter().map(|(name, _)| (*name).to_owned()).collect();
+        self.note(key, FieldKind::Choice { words }, false);
+        let Some(word) = self.text_value(key) else {
             return default;
         };
         let found = choices.iter().find(|(name, _)| *name == word);
@@ -196,6 +248,7 @@
     /// A list of texts; empty when it is not there.
     #[must_use]
     pub fn texts(&self, key: &str) -> Vec<String> {
+        self.note(key, FieldKind::Texts, false);
         let Some(value) = self.get(key) else {
             return Vec::new();
         };
@@ -216,7 +269,14 @@
     /// A table inside this one.
     #[must_use]
     pub fn table_opt(&self, key: &str) -> Option<Table<'t>> {
-        let value = self.get(key)?;
+        self.note(key, FieldKind::Table, false);
+        self.table_value(key)
+    }
+
+    fn table_value(&self, key: &str) -> Option<Table<'t>> {
+        let Some(value) = self.get(key) else {
+            return self.recorded(self.field(key));
+        };
         let start = self
             .items
             .get(key)
@@ -231,17 +291,20 @@
     /// A table that must be there.
     #[must_use]
     pub fn table(&self, key: &str) -> Option<Table<'t>> {
+        self.note(key, FieldKind::Table, true);
         if self.get(key).is_none() {
             self.missing(key, "a table");
         }
-        self.table_opt(key)
+        self.table_value(key)
     }
 
     /// A list of tables; empty when it is not there.
     #[must_use]
     pub fn tables(&self, key: &str) -> Vec<Table<'t>> {
+        self.note(key, FieldKind::Tables, false);
         let Some(value) = self.get(key) else {
-            return Vec::new();
+            let one = self.recorded(format!("{}[]", self.field(key)));
+            return one.into_iter().collect();
         };
         let Some(array) = value.as_array() else {
             self.wrong_type(key, "a list of tables", value);
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -36,7 +36,7 @@
     fn check_manifest(&self) -> Result<(), CmdError> {
         let name = self.file.display();
         let text = std::fs::read_to_string(&self.file).map_err(|e| format!("{name}: {e}"))?;
-        Manifest::parse(&text).map_err(|findings| format!("{name}:\n{findings}"))?;
+        Manifest::parse(&text).map_err(|findings| findings.in_file(&self.file))?;
         Ok(())
     }
 }
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -31,7 +31,7 @@
 pub(super) fn run(args: &Args) -> Result<ExitCode, CmdError> {
     let name = args.file.display();
     let text = std::fs::read_to_string(&args.file).map_err(|e| format!("{name}: {e}"))?;
-    let manifest = Manifest::parse(&text).map_err(|findings| format!("{name}:\n{findings}"))?;
+    let manifest = Manifest::parse(&text).map_err(|findings| findings.in_file(&args.file))?;
     let remote = Remote::new(&args.control, &args.key_file)?;
     let body = ConfigBody::Manifest {
         base: manifest.base,
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -22,7 +22,7 @@
 /// Appends a record and answers with its verdict.
 pub(super) async fn records(
     control: &Arc<Control>,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let body = read_body(body, RECORD_MAX, Instant::now() + UPLOAD).await?;
     let record: ConfigRecord = serde_json::from_slice(&body)
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -8,22 +8,24 @@
 use xitca_web::body::RequestBody;
 
 use crate::entry::bearer;
-use crate::http::{Refusal, RefusalKind, Request, Response, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, refuse, whole};
 
 use super::{Control, operator};
 
 /// Answers one request.
 pub(super) async fn answer(control: Arc<Control>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let (_, body) = body.replace_body(());
-    let answered = dispatch(&control, &head, body).await;
-    answered.unwrap_or_else(|refusal| refusal.response())
+    let (_, mut body) = body.replace_body(());
+    match dispatch(&control, &head, &mut body).await {
+        Ok(answer) => answer,
+        Err(refusal) => refuse(&refusal, &mut body).await,
+    }
 }
 
 async fn dispatch(
     control: &Arc<Control>,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     match (&head.method, head.uri.path()) {
         (&Method::GET, "/healthz") => Ok(whole(StatusCode::OK, "text/plain", Bytes::from("ok\n"))),
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -8,7 +8,7 @@
 use http::{Method, StatusCode};
 use xitca_web::body::RequestBody;
 
-use crate::http::{Refusal, RefusalKind, Request, Response, json, read_body, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, json, read_body, refuse, whole};
 use crate::log::ConfigState;
 
 use super::Entry;
@@ -72,22 +72,25 @@
 /// Answers one request.
 pub(super) async fn answer(entry: Arc<Entry>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let (_, body) = body.replace_body(());
+    let (_, mut body) = body.replace_body(());
     let page = Page::of(head.uri.path());
-    let answered = dispatch(&entry, page, &head, body).await;
+    let answered = dispatch(&entry, page, &head, &mut body).await;
     let outcome = match &answered {
         Ok(_) => "ok".to_owned(),
         Err(refusal) => refusal.kind.to_string(),
     };
     entry.counts.request("", page.name(), &outcome);
-    answered.unwrap_or_else(|refusal| refusal.response())
+    match answered {
+        Ok(answer) => answer,
+        Err(refusal) => refuse(&refusal, &mut body).await,
+    }
 }
 
 async fn dispatch(
     entry: &Arc<Entry>,
     page: Page,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     page.check(&head.method)?;
     match page {
@@ -107,7 +110,7 @@
     entry: &Arc<Entry>,
     call: Call,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     check_headers(&state, head)?;
@@ -120,7 +123,7 @@
 async fn internal_sample(
     entry: &Arc<Entry>,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     let token = auth::bearer(&head.headers)?;
@@ -135,7 +138,7 @@
 async fn plain_call(
     entry: &Arc<Entry>,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     check_headers(&state, head)?;
@@ -165,7 +168,7 @@
     plain::relay(entry, route, tenant, call).await
 }
 
-async fn take_body(state: &ConfigState, body: RequestBody) -> Result<Bytes, Refusal> {
+async fn take_body(state: &ConfigState, body: &mut RequestBody) -> Result<Bytes, Refusal> {
     let limits = state.manifest.limits;
     let deadline = Instant::now() + Duration::from_millis(limits.upload);
     Ok(read_body(body, limits.body, deadline).await?)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -7,4 +7,4 @@
 pub(crate) use client::collect;
 pub use client::{AnswerBody, Client, ClientError};
 pub use refusal::{Refusal, RefusalKind};
-pub use server::{BodyError, Request, Response, Server, json, read_body, streamed, whole};
+pub use server::{BodyError, Request, Response, Server, json, read_body, refuse, streamed, whole};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::pin::pin;
-use std::time::Instant;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
@@ -15,6 +15,13 @@
 use xitca_web::http::{RequestExt, WebResponse};
 use xitca_web::service::fn_service;
 
+use super::Refusal;
+
+/// Bytes of a refused request's body that are read and dropped.
+const DISCARD_BYTES: usize = 4 << 20;
+/// Time for which a refused request's body is read.
+const DISCARD_TIME: Duration = Duration::from_millis(200);
+
 /// A request whose body is still arriving.
 pub type Request = http::Request<RequestExt<RequestBody>>;
 
@@ -98,7 +105,7 @@
 /// # Errors
 /// [`BodyError`].
 pub async fn read_body(
-    body: RequestBody,
+    body: &mut RequestBody,
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, BodyError> {
@@ -107,10 +114,9 @@
     read.await.unwrap_or(Err(BodyError::TooSlow))
 }
 
-async fn read_limited(body: RequestBody, limit: usize) -> Result<Bytes, BodyError> {
-    let mut body = pin!(body);
+async fn read_limited(body: &mut RequestBody, limit: usize) -> Result<Bytes, BodyError> {
     let mut buf = BytesMut::new();
-    while let Some(data) = body.as_mut().data().await {
+    while let Some(data) = Pin::new(&mut *body).data().await {
         let data = data.map_err(|_| BodyError::Broken)?;
         if buf.len() + data.len() > limit {
             return Err(BodyError::TooLarge { limit });
@@ -120,6 +126,21 @@
     Ok(buf.freeze())
 }
 
+/// The answer to a refused request whose body may not have been read.
+///
+/// The rest of the body is read first, within limits: a connection that is closed with bytes
+/// unread is reset, and the caller could lose the answer. What cannot be read in time ends
+/// the connection, which the answer announces.
+pub async fn refuse(refusal: &Refusal, body: &mut RequestBody) -> Response {
+    let mut answer = refusal.response();
+    let rest = read_body(body, DISCARD_BYTES, Instant::now() + DISCARD_TIME).await;
+    if rest.is_err() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(header::CONNECTION, close);
+    }
+    answer
+}
+
 /// A whole answer.
 #[must_use]
 pub fn whole(status: StatusCode, kind: &'static str, body: Bytes) -> Response {
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::checked::{self, Findings};
+use crate::checked::{self, Field, Findings};
 use crate::names::{Model, Pool, Tenant, Zone};
 
 /// A checked manifest.
@@ -164,6 +164,12 @@
         checked::read(text, parse::manifest)
     }
 
+    /// The fields that a manifest may have.
+    #[must_use]
+    pub fn fields() -> Vec<Field> {
+        checked::fields(parse::manifest)
+    }
+
     /// The route with the longest path that `path` falls under.
     #[must_use]
     pub fn route(&self, path: &str) -> Option<&RouteSpec> {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,7 @@
 
 use snafu::{ResultExt, Snafu};
 
-use crate::checked::{self, Findings, Table};
+use crate::checked::{self, Field, Findings, Table};
 use crate::names::{InstanceId, Secret, Zone};
 
 /// Threads that one daemon may use.
@@ -23,7 +23,7 @@
         source: std::io::Error,
     },
     /// The settings have findings.
-    #[snafu(display("{}:\n{findings}", path.display()))]
+    #[snafu(display("{}", findings.in_file(path)))]
     Invalid {
         /// The file.
         path: PathBuf,
@@ -130,6 +130,14 @@
     }
 }
 
+impl Settings {
+    /// The fields that settings may have.
+    #[must_use]
+    pub fn fields() -> Vec<Field> {
+        checked::fields(parse)
+    }
+}
+
 fn read_file(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).context(FileSnafu { path })
 }
@@ -179,13 +187,12 @@
             return unset;
         };
         let text = table.text(field);
-        text.parse().unwrap_or_else(|_| {
-            table.report(
-                field,
-                "expected an IP address and port, such as 10.0.0.1:7000",
-            );
-            unset
-        })
+        let parsed = text.parse();
+        if parsed.is_err() && !text.is_empty() {
+            let expected = "expected an IP address and port, such as 10.0.0.1:7000";
+            table.report(field, expected);
+        }
+        parsed.unwrap_or(unset)
     };
     Listen {
         http: address("http"),
@@ -203,7 +210,7 @@
         let is_url = text
             .parse::<http::Uri>()
             .is_ok_and(|uri| uri.host().is_some());
-        if !is_url {
+        if !is_url && !text.is_empty() {
             table.report(field, "expected a URL, such as http://10.0.0.9:9000/log");
         }
         text
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 #![cfg(feature = "standin")]
 
 mod bad_input;
+mod check;
 mod leak;
 mod path;
 mod stop;
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -280,11 +280,15 @@
     /// Runs the command line against control daemon 0.
     pub fn basillead(&self, args: &[&str]) -> Output {
         let control = self.control_url(0);
+        let mut all = args.to_vec();
+        all.extend_from_slice(&["--control", &control, "--key-file", "operator.key"]);
+        self.local(&all)
+    }
+
+    /// Runs the command line without a control daemon.
+    pub fn local(&self, args: &[&str]) -> Output {
         let mut command = Command::new(env!("CARGO_BIN_EXE_basillead"));
         command.args(args).current_dir(self.dir.path());
-        if !args.starts_with(&["check"]) {
-            command.args(["--control", &control, "--key-file", "operator.key"]);
-        }
         command.output().expect("the command line runs")
     }
 
