Hold roles by leases on the log, with calls fenced by their deadline

Cause: orders, usage reports and weight loads need one process in charge, and a paused one must not act after its successor.

A claim names the offset of the role's last record that counted, not only of the claim before it: a claim made without knowledge of a renewal that is already in the log would win otherwise, while the holder takes that renewal for confirmed. Ruled out: comparing claims alone (that hole), a conditional append (the log has none).

Conclusion: control daemons follow the lease stream and claim three roles; orders and reports go through a stream that refuses writes after the deadline.

--- /dev/null
+++ b/src/control/leases.rs
@@ -0,0 +1,236 @@
+//! Follows the lease stream; claims, renews and releases the roles of this process.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+use crate::edge::{EdgeResult, Instances, Log, Stream};
+use crate::lease::{Due, Held, Roles, is_eligible};
+use crate::log::Backoff;
+use crate::names::{Incarnation, InstanceId};
+use crate::wire::{Instance, LeaseHeld, LeaseRecord, LogPage, Role};
+
+/// All roles.
+const ROLES: [Role; 3] = [Role::Servers, Role::Usage, Role::Weights];
+/// Longest wait of one read at the stream's head.
+const POLL_WAIT: Duration = Duration::from_secs(2);
+/// Time between two readings of the instance list.
+const LIST_POLL: Duration = Duration::from_secs(10);
+/// Longest time by which one process claims later than another.
+const STAGGER_MAX: Duration = Duration::from_millis(500);
+/// Time for which a leaving process waits for work under its leases to end.
+const RELEASE_WAIT: Duration = Duration::from_secs(2);
+
+/// Keeps a lease from being released while work under it is on its way.
+#[derive(Debug)]
+pub struct LeaseGuard {
+    /// The lease.
+    pub held: Held,
+    _work: Arc<()>,
+}
+
+#[derive(Debug)]
+struct State {
+    roles: Roles,
+    list: Vec<Instance>,
+}
+
+/// The leases of this process.
+#[derive(Debug)]
+pub struct Leases {
+    log: Arc<dyn Log>,
+    instances: Arc<dyn Instances>,
+    instance: InstanceId,
+    state: Mutex<State>,
+    work: BTreeMap<Role, Arc<()>>,
+    changed: Notify,
+}
+
+impl Leases {
+    /// Leases of a process that has read nothing yet.
+    #[must_use]
+    pub fn new(
+        log: Arc<dyn Log>,
+        instances: Arc<dyn Instances>,
+        instance: &InstanceId,
+        incarnation: &Incarnation,
+    ) -> Self {
+        let stagger = STAGGER_MAX.mul_f64(rand::random_range(0.0..=1.0));
+        Self {
+            log,
+            instances,
+            instance: instance.clone(),
+            state: Mutex::new(State {
+                roles: Roles::new(&ROLES, incarnation.as_str(), stagger),
+                list: Vec::new(),
+            }),
+            work: ROLES.into_iter().map(|role| (role, Arc::new(()))).collect(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// The lease of `role`, if this process may use it now.
+    #[must_use]
+    pub fn held(&self, role: Role) -> Option<Held> {
+        self.state.lock().roles.held(role, Instant::now())
+    }
+
+    /// The lease of `role` for a piece of work, which delays a release until it ends.
+    #[must_use]
+    pub fn begin(&self, role: Role) -> Option<LeaseGuard> {
+        let work = Arc::clone(self.work.get(&role)?);
+        let held = self.held(role)?;
+        Some(LeaseGuard { held, _work: work })
+    }
+
+    /// All leases that this process may use now.
+    #[must_use]
+    pub fn all(&self) -> Vec<LeaseHeld> {
+        let held = |role| {
+            let claim = self.held(role)?.claim;
+            Some(LeaseHeld { claim, role })
+        };
+        ROLES.into_iter().filter_map(held).collect()
+    }
+
+    /// Whether the lease stream was read to its head and holds no gap.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.state.lock().roles.is_known()
+    }
+
+    /// Follows the stream and appends what is due, for ever.
+    pub async fn run(self: Arc<Self>) {
+        tokio::join!(self.follow(), self.act(), self.follow_list());
+    }
+
+    /// Releases what this process holds, once no work under it is left.
+    ///
+    /// Leases with work left lapse instead.
+    pub async fn release(&self) {
+        self.state.lock().roles.leave();
+        let until = Instant::now() + RELEASE_WAIT;
+        for role in ROLES {
+            while self.is_busy(role) && Instant::now() < until {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let release = self.state.lock().roles.release(role);
+            if let Some(record) = release.filter(|_| !self.is_busy(role)) {
+                let appended = tokio::time::timeout(RELEASE_WAIT, self.append(&record));
+                let is_done = matches!(appended.await, Ok(Ok(_)));
+                spdlog::info!("lease released", kv: { role = role.to_string(), is_done });
+            }
+        }
+    }
+
+    fn is_busy(&self, role: Role) -> bool {
+        Arc::strong_count(&self.work[&role]) > 1
+    }
+
+    async fn append(&self, record: &LeaseRecord) -> EdgeResult<u64> {
+        let text = serde_json::to_string(record).unwrap_or_default();
+        self.log.append(Stream::Leases, text).await
+    }
+
+    async fn follow(&self) {
+        let mut backoff = Backoff::default();
+        loop {
+            if !self.is_following() {
+                self.state.lock().roles.pause();
+                tokio::time::sleep(POLL_WAIT).await;
+                continue;
+            }
+            let from = self.state.lock().roles.next();
+            match self.log.read(Stream::Leases, from, POLL_WAIT).await {
+                Ok(page) => {
+                    backoff.reset();
+                    self.take(&page, Instant::now());
+                }
+                Err(error) => {
+                    spdlog::warn!("lease read failed", kv: { error = error.to_string() });
+                    backoff.pause().await;
+                }
+            }
+        }
+    }
+
+    /// Whether this process may claim any role, or holds one.
+    fn is_following(&self) -> bool {
+        let now = Instant::now();
+        let state = self.state.lock();
+        let mut roles = ROLES.into_iter();
+        roles.any(|role| state.roles.held(role, now).is_some() || self.may_claim(role, &state.list))
+    }
+
+    fn may_claim(&self, role: Role, list: &[Instance]) -> bool {
+        is_eligible(role, self.instance.as_str(), list)
+    }
+
+    /// Folds a page that was received at `received`.
+    fn take(&self, page: &LogPage, received: Instant) {
+        let mut state = self.state.lock();
+        let before = ROLES.map(|role| state.roles.held(role, received));
+        state.roles.take(page, received);
+        for (role, before) in ROLES.into_iter().zip(before) {
+            let after = state.roles.held(role, received);
+            log_change(
+                role,
+                before.map(|held| held.claim),
+                after.map(|held| held.claim),
+            );
+        }
+        if state.roles.next() >= page.next && !state.roles.is_known() {
+            spdlog::error!("leases are unknown: records expired", kv: { first = page.first });
+        }
+        drop(state);
+        self.changed.notify_one();
+    }
+
+    async fn append_logged(&self, record: &LeaseRecord) {
+        if let Err(error) = self.append(record).await {
+            spdlog::warn!("lease append failed", kv: { error = error.to_string() });
+        }
+    }
+
+    async fn act(self: &Arc<Self>) {
+        loop {
+            let Due { records, until } = self.due(Instant::now());
+            for record in records {
+                // Not awaited: a slow append must not hold up the next renewal.
+                let leases = Arc::clone(self);
+                tokio::spawn(async move { leases.append_logged(&record).await });
+            }
+            let _ = tokio::time::timeout_at(until.into(), self.changed.notified()).await;
+        }
+    }
+
+    fn due(&self, now: Instant) -> Due {
+        let mut state = self.state.lock();
+        let State { roles, list } = &mut *state;
+        roles.due(now, |role| self.may_claim(role, list))
+    }
+
+    async fn follow_list(&self) {
+        loop {
+            match self.instances.list().await {
+                Ok(list) => self.state.lock().list = list,
+                Err(error) => {
+                    spdlog::warn!("instance list failed", kv: { error = error.to_string() });
+                }
+            }
+            tokio::time::sleep(LIST_POLL).await;
+        }
+    }
+}
+
+fn log_change(role: Role, before: Option<u64>, after: Option<u64>) {
+    let role = role.to_string();
+    match (before, after) {
+        (None, Some(claim)) => spdlog::info!("lease held", kv: { role, claim }),
+        (Some(claim), None) => spdlog::warn!("lease lost", kv: { role, claim }),
+        _ => {}
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,11 +1,12 @@
 //! The control daemon: the operators' and the platform's side.
 
+pub mod leases;
 mod operator;
 mod serve;
 
 use std::sync::Arc;
 
-use crate::edge::{HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
@@ -19,6 +20,7 @@
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
     servers: HttpServers,
+    leases: Arc<leases::Leases>,
     metrics: Metrics,
 }
 
@@ -30,8 +32,12 @@
     pub fn new(settings: Settings) -> std::io::Result<Self> {
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
+        let incarnation = Incarnation::random();
+        let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let leases = leases::Leases::new(log.clone(), instances, &settings.instance, &incarnation);
         Ok(Self {
-            incarnation: Incarnation::random(),
+            incarnation,
+            leases: Arc::new(leases),
             config: Arc::new(ConfigLog::new(log)),
             servers: HttpServers::new(&client, &settings.platform.servers),
             metrics: Metrics::new().map_err(std::io::Error::other)?,
@@ -47,6 +53,8 @@
         let control = Arc::new(self);
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
+        let leases = Arc::clone(&control.leases);
+        tokio::spawn(async move { leases.run().await });
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let state = Arc::clone(&control);
@@ -58,6 +66,7 @@
             incarnation = control.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
+        control.leases.release().await;
         drop(server);
         Ok(())
     }
--- /dev/null
+++ b/src/edge/fenced.rs
@@ -0,0 +1,223 @@
+//! HTTP calls that cannot leave this process after the deadline of a lease.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use snafu::{ResultExt as _, Snafu};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, timeout_at};
+
+use crate::lease::{Held, MARGIN};
+
+/// Time after which the kernel drops bytes that the other side has not acknowledged.
+const UNACKNOWLEDGED: Duration = MARGIN.checked_div(2).expect("two is not zero");
+/// Time within which an answer must arrive, also after the lease's deadline.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why a fenced call got no answer.
+#[derive(Debug, Snafu)]
+pub enum FencedError {
+    /// The lease's deadline passed before the call.
+    #[snafu(display("the lease has lapsed; nothing was sent"))]
+    Lapsed,
+    /// The URL is not one of an IP address and port.
+    #[snafu(display("the URL must name an IP address and port"))]
+    Address,
+    /// No connection was made, so nothing was sent.
+    #[snafu(display("no connection: {source}"))]
+    Connect {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The connection broke, perhaps because the lease lapsed.
+    #[snafu(display("connection broke: {source}"))]
+    Broken {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// No answer in time.
+    #[snafu(display("no answer in time"))]
+    Timeout,
+}
+
+/// A client whose every call has a connection of its own, closed to writes at the deadline.
+#[derive(Clone, Copy, Debug)]
+pub struct FencedClient {
+    deadline: Instant,
+}
+
+impl FencedClient {
+    /// A client that sends under a lease.
+    #[must_use]
+    pub fn new(held: Held) -> Self {
+        Self {
+            deadline: held.deadline,
+        }
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    /// [`FencedError`]. Only [`FencedError::Lapsed`], [`FencedError::Address`] and
+    /// [`FencedError::Connect`] say that nothing was sent.
+    pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, FencedError> {
+        let stream = self.connect(&request).await?;
+        let sent = timeout(ANSWER_TIMEOUT, exchange(stream, request));
+        sent.await.unwrap_or(Err(FencedError::Timeout))
+    }
+
+    async fn connect(&self, request: &Request<Bytes>) -> Result<FencedStream, FencedError> {
+        let authority = request.uri().authority();
+        let address = authority.and_then(|authority| authority.as_str().parse().ok());
+        let address: SocketAddr = address.ok_or(FencedError::Address)?;
+        let connected = timeout_at(self.deadline.into(), TcpStream::connect(address));
+        let tcp = connected.await.map_err(|_| FencedError::Lapsed)?;
+        let stream = FencedStream::new(tcp.context(ConnectSnafu)?, self.deadline);
+        stream.context(ConnectSnafu)
+    }
+}
+
+async fn exchange(
+    stream: FencedStream,
+    request: Request<Bytes>,
+) -> Result<Response<Bytes>, FencedError> {
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = shaken.context(BrokenSnafu)?;
+    let driver = tokio::spawn(connection);
+    let answer = sender.send_request(origin_form(request)).await;
+    let (head, body) = answer.context(BrokenSnafu)?.into_parts();
+    let body = body.collect().await.context(BrokenSnafu)?;
+    driver.abort();
+    Ok(Response::from_parts(head, body.to_bytes()))
+}
+
+/// The request with a `Host` header and the path alone as its target.
+fn origin_form(request: Request<Bytes>) -> Request<Full<Bytes>> {
+    let mut request = request.map(Full::new);
+    let uri = request.uri().clone();
+    let host = uri.authority().map(http::uri::Authority::as_str);
+    let host = host.and_then(|host| HeaderValue::from_str(host).ok());
+    if let Some(host) = host {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    if let Some(path) = uri.path_and_query() {
+        *request.uri_mut() = path.clone().into();
+    }
+    request
+}
+
+/// A TCP stream that takes no more bytes once a deadline has passed.
+///
+/// Bytes taken before are dropped by the kernel if they are not acknowledged within half
+/// of the lease's margin, or when the stream is closed. So no byte of a stopped process
+/// arrives after a successor may act. What remains is a stop between the check of the
+/// deadline and the system call that follows it.
+#[derive(Debug)]
+pub struct FencedStream {
+    tcp: TcpStream,
+    deadline: Instant,
+}
+
+impl FencedStream {
+    /// Wraps a connected stream.
+    ///
+    /// # Errors
+    /// A socket option cannot be set.
+    pub fn new(tcp: TcpStream, deadline: Instant) -> io::Result<Self> {
+        tcp.set_nodelay(true)?;
+        let socket = SockRef::from(&tcp);
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        socket.set_linger(Some(Duration::ZERO))?;
+        Ok(Self { tcp, deadline })
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if Instant::now() < self.deadline {
+            return Ok(());
+        }
+        let message = "the lease has lapsed";
+        Err(io::Error::new(io::ErrorKind::PermissionDenied, message))
+    }
+}
+
+impl AsyncRead for FencedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for FencedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.check()?;
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.check()?;
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    use tokio::net::TcpListener;
+
+    #[tokio::test]
+    async fn write_lapsed() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let tcp = TcpStream::connect(address).await.expect("a connection");
+        let (mut other, _) = listener.accept().await.expect("a connection");
+        let deadline = Instant::now() + Duration::from_millis(100);
+        let mut fenced = FencedStream::new(tcp, deadline).expect("options");
+        fenced.write_all(b"before").await.expect("before it");
+        let mut buf = [0; 6];
+        other.read_exact(&mut buf).await.expect("what came before");
+        tokio::time::sleep_until(deadline.into()).await;
+        let refused = fenced.write_all(b"after").await.expect_err("after it");
+        assert_eq!(refused.kind(), io::ErrorKind::PermissionDenied);
+        let slices = [io::IoSlice::new(b"after")];
+        let refused = fenced.write_vectored(&slices).await.expect_err("after it");
+        assert_eq!(refused.kind(), io::ErrorKind::PermissionDenied);
+        drop(fenced);
+        let mut rest = Vec::new();
+        let _ = other.read_to_end(&mut rest).await;
+        assert!(rest.is_empty(), "{rest:?}");
+    }
+}
--- a/src/edge/http_platform.rs
+++ b/src/edge/http_platform.rs
@@ -5,15 +5,17 @@
 use bytes::Bytes;
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
-use http::{Method, Request};
+use http::{Method, Request, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt as _;
 
 use super::{
-    CallSnafu, EdgeResult, Instances, Log, MalformedSnafu, RefusedSnafu, Servers, Stream, UsageSink,
+    CallSnafu, EdgeResult, FencedClient, FencedSnafu, Instances, Log, MalformedSnafu, RefusedSnafu,
+    Servers, Stream, UsageSink,
 };
 use crate::http::Client;
+use crate::lease::Held;
 use crate::wire::{Appended, Instance, LogPage, Order, OrderResult, ServerList, UsageReport};
 
 /// Time within which the platform must answer, besides time it was asked to wait.
@@ -42,6 +44,31 @@
         body: String,
         timeout: Duration,
     ) -> EdgeResult<T> {
+        let (url, request) = self.request(method, path, body)?;
+        let answer = self.client.fetch(request, timeout).await;
+        parse(&url, &answer.context(CallSnafu { url: &url })?)
+    }
+
+    /// Posts under a lease, on a connection that is closed to writes at its deadline.
+    async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &impl Serialize,
+        held: Held,
+    ) -> EdgeResult<T> {
+        let url = &self.url;
+        let body = serde_json::to_string(body).context(MalformedSnafu { url })?;
+        let (url, request) = self.request(Method::POST, path, body)?;
+        let answer = FencedClient::new(held).send(request).await;
+        parse(&url, &answer.context(FencedSnafu { url: &url })?)
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> EdgeResult<(String, Request<Bytes>)> {
         let url = format!("{}{path}", self.url);
         let request = Request::builder()
             .method(method)
@@ -50,32 +77,28 @@
             .body(Bytes::from(body));
         let request = request.map_err(crate::http::ClientError::malformed);
         let request = request.context(CallSnafu { url: &url })?;
-        let answer = self.client.fetch(request, timeout).await;
-        let answer = answer.context(CallSnafu { url: &url })?;
-        let status = answer.status();
-        if !status.is_success() {
-            let detail = String::from_utf8_lossy(answer.body()).into_owned();
-            let status = status.as_u16();
-            return RefusedSnafu {
-                url,
-                status,
-                detail,
-            }
-            .fail();
-        }
-        serde_json::from_slice(answer.body()).context(MalformedSnafu { url })
+        Ok((url, request))
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> EdgeResult<T> {
         self.call(Method::GET, path, String::new(), CALL_TIMEOUT)
             .await
     }
+}
 
-    async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> EdgeResult<T> {
-        let url = &self.url;
-        let body = serde_json::to_string(body).context(MalformedSnafu { url })?;
-        self.call(Method::POST, path, body, CALL_TIMEOUT).await
+fn parse<T: DeserializeOwned>(url: &str, answer: &Response<Bytes>) -> EdgeResult<T> {
+    let status = answer.status();
+    if !status.is_success() {
+        let detail = String::from_utf8_lossy(answer.body()).into_owned();
+        let status = status.as_u16();
+        return RefusedSnafu {
+            url,
+            status,
+            detail,
+        }
+        .fail();
     }
+    serde_json::from_slice(answer.body()).context(MalformedSnafu { url })
 }
 
 /// The log service over HTTP.
@@ -155,8 +178,8 @@
         self.0.get("").boxed()
     }
 
-    fn order(&self, order: Order) -> BoxFuture<'_, EdgeResult<OrderResult>> {
-        async move { self.0.post("/orders", &order).await }.boxed()
+    fn order(&self, order: Order, held: Held) -> BoxFuture<'_, EdgeResult<OrderResult>> {
+        async move { self.0.post("/orders", &order, held).await }.boxed()
     }
 }
 
@@ -173,9 +196,9 @@
 }
 
 impl UsageSink for HttpUsage {
-    fn report(&self, report: UsageReport) -> BoxFuture<'_, EdgeResult<()>> {
+    fn report(&self, report: UsageReport, held: Held) -> BoxFuture<'_, EdgeResult<()>> {
         async move {
-            let _: serde_json::Value = self.0.post("", &report).await?;
+            let _: serde_json::Value = self.0.post("", &report, held).await?;
             Ok(())
         }
         .boxed()
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! Traits for the outside systems, and their HTTP clients.
 
+mod fenced;
 mod http_platform;
 
 use std::fmt;
@@ -8,8 +9,10 @@
 use futures_util::future::BoxFuture;
 use snafu::Snafu;
 
+use crate::lease::Held;
 use crate::wire::{Instance, LogPage, Order, OrderResult, ServerList, UsageReport};
 
+pub use fenced::{FencedClient, FencedError, FencedStream};
 pub use http_platform::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 
 /// A stream of the log service.
@@ -48,6 +51,14 @@
         /// The cause.
         source: crate::http::ClientError,
     },
+    /// A call under a lease got no answer.
+    #[snafu(display("{url}: {source}"))]
+    Fenced {
+        /// What was called.
+        url: String,
+        /// The cause.
+        source: FencedError,
+    },
     /// An answer that refuses the call.
     #[snafu(display("{url}: status {status}: {detail}"))]
     Refused {
@@ -94,12 +105,12 @@
     /// Lists backend servers and the orders that took effect.
     fn list(&self) -> BoxFuture<'_, EdgeResult<ServerList>>;
 
-    /// Orders a backend server to start or stop.
-    fn order(&self, order: Order) -> BoxFuture<'_, EdgeResult<OrderResult>>;
+    /// Orders a backend server to start or stop, under the lease of the servers' role.
+    fn order(&self, order: Order, held: Held) -> BoxFuture<'_, EdgeResult<OrderResult>>;
 }
 
 /// The usage interface.
 pub trait UsageSink: fmt::Debug + Send + Sync {
-    /// Reports a closed window.
-    fn report(&self, report: UsageReport) -> BoxFuture<'_, EdgeResult<()>>;
+    /// Reports a closed window, under the lease of the usage role.
+    fn report(&self, report: UsageReport, held: Held) -> BoxFuture<'_, EdgeResult<()>>;
 }
--- /dev/null
+++ b/src/lease/mod.rs
@@ -0,0 +1,214 @@
+//! Decides when a process may claim, renew and use a lease; pure, with instants passed in.
+//!
+//! [`Candidate`] decides on one role, [`Roles`] on all roles of a process from pages of the
+//! lease stream. Both run unchanged in the generated schedules of the tests.
+
+mod rank;
+mod roles;
+#[cfg(test)]
+mod schedule;
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::log::{Lease, LeaseChange};
+use crate::wire::{LeaseBody, LeaseRecord, Role};
+
+pub use rank::is_eligible;
+pub use roles::{Due, Roles};
+
+/// Time for which a claim or renewal holds.
+pub const LEASE: Duration = Duration::from_secs(6);
+/// What a holder stops early and a successor waits longer.
+pub const MARGIN: Duration = Duration::from_secs(1);
+/// Time from the sending of a claim or renewal to the holder's deadline.
+const HOLD: Duration = LEASE.checked_sub(MARGIN).expect("the margin is shorter");
+/// Time from the receipt of a claim or renewal to a successor's claim.
+const SUCCEED: Duration = LEASE.checked_add(MARGIN).expect("both are short");
+/// Time between two renewals.
+const RENEW: Duration = Duration::from_secs(2);
+/// Time after which an append without a result is made again.
+const RETRY: Duration = Duration::from_millis(700);
+/// Appends whose send instants are kept.
+const SENT_KEPT: usize = 8;
+
+/// A lease that this process holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Held {
+    /// Offset of the claim, which is the fencing number.
+    pub claim: u64,
+    /// The instant from which on it must not be used.
+    pub deadline: Instant,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Append this record, which counts as sent from now on.
+    Append(LeaseRecord),
+    /// Ask again at this instant, or when a record arrives.
+    Wait(Instant),
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    lease: Lease,
+    received: Instant,
+}
+
+#[derive(Clone, Debug)]
+struct Sent {
+    id: String,
+    at: Instant,
+}
+
+/// One process's part in the succession to one role.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    role: Role,
+    holder: String,
+    stagger: Duration,
+    seen: Option<Seen>,
+    held: Option<Held>,
+    /// When the last confirmed claim or renewal was sent.
+    renewed: Option<Instant>,
+    sent: VecDeque<Sent>,
+    leaving: bool,
+}
+
+impl Candidate {
+    /// A candidate that waits `stagger` longer than the others before it claims.
+    #[must_use]
+    pub fn new(role: Role, holder: &str, stagger: Duration) -> Self {
+        Self {
+            role,
+            holder: holder.to_owned(),
+            stagger,
+            seen: None,
+            held: None,
+            renewed: None,
+            sent: VecDeque::new(),
+            leaving: false,
+        }
+    }
+
+    /// The lease, if it may be used at `now`.
+    #[must_use]
+    pub fn held(&self, now: Instant) -> Option<Held> {
+        self.held.filter(|held| now < held.deadline)
+    }
+
+    /// Takes note of a record that counted and was received at `received`.
+    pub fn observe(&mut self, change: &LeaseChange, lease: &Lease, received: Instant) {
+        self.seen = Some(Seen {
+            lease: lease.clone(),
+            received,
+        });
+        if !self.is_own(lease) {
+            self.held = None;
+            self.renewed = None;
+            return;
+        }
+        let sent = self.sent.iter().find(|sent| sent.id == change.id);
+        let Some(at) = sent.map(|sent| sent.at) else {
+            return;
+        };
+        // A renewal that was sent earlier may be confirmed later.
+        let at = self.renewed.map_or(at, |renewed| renewed.max(at));
+        self.renewed = Some(at);
+        self.held = Some(Held {
+            claim: lease.claim,
+            deadline: at + HOLD,
+        });
+        self.sent.retain(|sent| sent.at > at);
+    }
+
+    /// Starts over from what the log was found to hold after a gap.
+    pub fn adopt(&mut self, lease: Option<&Lease>, received: Instant) {
+        self.held = None;
+        self.renewed = None;
+        self.seen = lease.cloned().map(|lease| Seen { lease, received });
+    }
+
+    /// Claims and renews no more; releases what it holds.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.held = None;
+    }
+
+    /// The release to append when leaving, if this process still has the lease.
+    #[must_use]
+    pub fn release(&self) -> Option<LeaseRecord> {
+        let lease = &self.seen.as_ref()?.lease;
+        let own = self.leaving && self.is_own(lease);
+        own.then(|| {
+            record(LeaseBody::Release {
+                claim: lease.claim,
+                role: self.role,
+            })
+        })
+    }
+
+    /// What to do at `now`.
+    ///
+    /// The stream must have been read to its head and be known.
+    pub fn step(&mut self, now: Instant) -> Step {
+        if self.leaving {
+            return Step::Wait(now + LEASE);
+        }
+        let due = self.due(now);
+        if now < due {
+            return Step::Wait(due);
+        }
+        let record = record(self.body());
+        if self.sent.len() == SENT_KEPT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back(Sent {
+            id: record.id.clone(),
+            at: now,
+        });
+        Step::Append(record)
+    }
+
+    /// The instant from which on the next record may be appended.
+    fn due(&self, now: Instant) -> Instant {
+        let retry = self.sent.back().map_or(now, |sent| sent.at + RETRY);
+        let Some(seen) = &self.seen else {
+            return retry;
+        };
+        if self.is_own(&seen.lease) {
+            return self.renewed.map_or(now, |at| at + RENEW).max(retry);
+        }
+        if seen.lease.released {
+            return retry;
+        }
+        (seen.received + SUCCEED + self.stagger).max(retry)
+    }
+
+    fn body(&self) -> LeaseBody {
+        let lease = self.seen.as_ref().map(|seen| &seen.lease);
+        match lease.filter(|lease| self.is_own(lease)) {
+            Some(own) => LeaseBody::Renew {
+                claim: own.claim,
+                role: self.role,
+            },
+            None => LeaseBody::Claim {
+                holder: self.holder.clone(),
+                role: self.role,
+                succeeds: lease.map(|lease| lease.last),
+            },
+        }
+    }
+
+    fn is_own(&self, lease: &Lease) -> bool {
+        lease.holder == self.holder && !lease.released
+    }
+}
+
+fn record(body: LeaseBody) -> LeaseRecord {
+    LeaseRecord {
+        id: crate::util::random_id(),
+        body,
+    }
+}
--- /dev/null
+++ b/src/lease/roles.rs
@@ -0,0 +1,158 @@
+//! All roles of one process, decided from pages of the lease stream.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::log::{LeaseFold, SnapshotClock};
+use crate::wire::{LeaseBody, LeaseRecord, LogPage, Role};
+
+use super::{Candidate, Held, Step, record};
+
+/// Time without a record or snapshot after which an expired stream is started anew.
+const ANEW: Duration = Duration::from_secs(60);
+/// Time after an append at which it is checked for its result.
+const RECHECK: Duration = Duration::from_millis(500);
+/// Longest time for which nothing is decided.
+const IDLE: Duration = Duration::from_secs(2);
+
+/// What is due at an instant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    /// Records to append now.
+    pub records: Vec<LeaseRecord>,
+    /// When to ask again, unless a page arrives before.
+    pub until: Instant,
+}
+
+/// The part of one process in the succession to all roles.
+#[derive(Clone, Debug)]
+pub struct Roles {
+    fold: LeaseFold,
+    candidates: BTreeMap<Role, Candidate>,
+    snapshots: SnapshotClock,
+    /// Since when the leases have been unknown without a new record.
+    unknown: Option<Instant>,
+    at_head: bool,
+}
+
+impl Roles {
+    /// The roles of a process that has read nothing yet.
+    #[must_use]
+    pub fn new(roles: &[Role], holder: &str, stagger: Duration) -> Self {
+        let candidate = |role: &Role| (*role, Candidate::new(*role, holder, stagger));
+        Self {
+            fold: LeaseFold::default(),
+            candidates: roles.iter().map(candidate).collect(),
+            snapshots: SnapshotClock::default(),
+            unknown: None,
+            at_head: false,
+        }
+    }
+
+    /// The offset to read from.
+    #[must_use]
+    pub fn next(&self) -> u64 {
+        self.fold.next()
+    }
+
+    /// The lease of a role, if it may be used at `now`.
+    #[must_use]
+    pub fn held(&self, role: Role, now: Instant) -> Option<Held> {
+        self.candidates.get(&role)?.held(now)
+    }
+
+    /// Whether the stream was read to its head and its leases are known.
+    #[must_use]
+    pub fn is_known(&self) -> bool {
+        self.at_head && self.fold.is_known()
+    }
+
+    /// Decides nothing until the head has been read again.
+    pub fn pause(&mut self) {
+        self.at_head = false;
+    }
+
+    /// Claims and renews no more.
+    pub fn leave(&mut self) {
+        for candidate in self.candidates.values_mut() {
+            candidate.leave();
+        }
+    }
+
+    /// The release of a role to append when leaving.
+    #[must_use]
+    pub fn release(&self, role: Role) -> Option<LeaseRecord> {
+        self.candidates.get(&role)?.release()
+    }
+
+    /// Folds a page that was received at `received`.
+    pub fn take(&mut self, page: &LogPage, received: Instant) {
+        let before = (self.fold.is_known(), self.fold.restored());
+        let changes = self.fold.apply_page(page);
+        if before != (self.fold.is_known(), self.fold.restored()) {
+            for (role, candidate) in &mut self.candidates {
+                candidate.adopt(self.fold.lease(*role), received);
+            }
+        }
+        for change in changes {
+            let lease = self.fold.lease(change.role);
+            let candidate = self.candidates.get_mut(&change.role);
+            if let (Some(candidate), Some(lease)) = (candidate, lease) {
+                candidate.observe(&change, lease, received);
+            }
+        }
+        self.snapshots.observe(page, self.fold.snapshot_at());
+        self.at_head = self.fold.next() >= page.next;
+        if self.fold.is_known() {
+            self.unknown = None;
+        } else if self.unknown.is_none() || !page.records.is_empty() {
+            self.unknown = Some(received);
+        }
+    }
+
+    /// What is due at `now` for the roles that this process may claim.
+    pub fn due(&mut self, now: Instant, eligible: impl Fn(Role) -> bool) -> Due {
+        let mut due = Due {
+            records: Vec::new(),
+            until: now + IDLE,
+        };
+        if !self.at_head {
+            return due;
+        }
+        if !self.fold.is_known() {
+            due.records.extend(self.anew(now));
+            return due;
+        }
+        for (role, candidate) in &mut self.candidates {
+            if !eligible(*role) && candidate.held(now).is_none() {
+                continue;
+            }
+            match candidate.step(now) {
+                Step::Append(record) => due.records.push(record),
+                Step::Wait(instant) => due.until = due.until.min(instant),
+            }
+        }
+        due.records.extend(self.snapshot(now));
+        if !due.records.is_empty() {
+            due.until = due.until.min(now + RECHECK);
+        }
+        due
+    }
+
+    /// An empty snapshot, which starts a stream anew whose records have all expired.
+    fn anew(&mut self, now: Instant) -> Option<LeaseRecord> {
+        self.unknown.filter(|since| now >= *since + ANEW)?;
+        self.unknown = Some(now);
+        Some(record(LeaseBody::Snapshot {
+            leases: Vec::new(),
+            upto: self.fold.next(),
+        }))
+    }
+
+    /// The snapshot to append, by the holder of the servers' role alone.
+    fn snapshot(&mut self, now: Instant) -> Option<LeaseRecord> {
+        self.held(Role::Servers, now)?;
+        let is_due = self.snapshots.take_due(self.fold.next(), now);
+        is_due.then(|| record(self.fold.snapshot()))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 //! | --- | --- |
 //! | [`settings`], [`manifest`], [`checked`] | what operators write, and how it is checked |
 //! | [`edge`] | traits for the outside systems, and their HTTP clients |
+//! | [`lease`] | when a lease may be claimed and used |
 //! | [`log`] | folds of the log's streams |
 //! | [`entry`] | the callers' side |
 //! | [`control`] | the operators' and the platform's side |
@@ -20,6 +21,7 @@
 pub mod edge;
 pub mod entry;
 pub mod http;
+pub mod lease;
 pub mod log;
 pub mod manifest;
 pub mod names;
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -1,10 +1,10 @@
 //! The fold of the configuration stream: manifest, keys and rounds.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::manifest::Manifest;
-use crate::names::{KeyDigest, Tenant, sha256_hex};
+use crate::names::{KeyDigest, ServerId, Tenant, sha256_hex};
 use crate::wire::{
     ConfigBody, ConfigRecord, ConfigSnapshot, KeyEntry, RoundEntry, RoundSpec, Verdict,
 };
@@ -40,6 +40,8 @@
     pub keys: BTreeMap<KeyDigest, KeyInfo>,
     /// Rounds by name.
     pub rounds: BTreeMap<String, RoundEntry>,
+    /// Backend servers that are marked as leaving and get no new work.
+    pub leaving: BTreeSet<ServerId>,
 }
 
 impl ConfigState {
@@ -66,6 +68,7 @@
             manifest: self.text.to_string(),
             keys: self.keys.iter().map(key_entry).collect(),
             rounds: self.rounds.values().cloned().collect(),
+            leaving: self.leaving.iter().map(ServerId::to_string).collect(),
         }
     }
 }
@@ -138,6 +141,7 @@
             manifest: Arc::new(manifest),
             keys: snapshot.keys.into_iter().map(key_info).collect(),
             rounds: snapshot.rounds.into_iter().map(round_entry).collect(),
+            leaving: snapshot.leaving.into_iter().map(ServerId::from).collect(),
         };
         true
     }
@@ -160,6 +164,9 @@
             ConfigBody::KeyWithdraw { digest } => self.fold_withdraw(offset, &digest.into()),
             ConfigBody::RoundCreate { round } => self.fold_round(offset, round),
             ConfigBody::RoundCancel { name } => self.fold_cancel(offset, &name),
+            ConfigBody::ServerMark { leaving, server } => {
+                self.fold_mark(offset, leaving, server.into())
+            }
             ConfigBody::Snapshot { .. } => ignored("a snapshot of what is known"),
         }
     }
@@ -246,6 +253,15 @@
         entry.cancelled = true;
         self.accepted(offset)
     }
+
+    fn fold_mark(&mut self, offset: u64, leaving: bool, server: ServerId) -> Verdict {
+        if leaving {
+            self.state.leaving.insert(server);
+        } else {
+            self.state.leaving.remove(&server);
+        }
+        self.accepted(offset)
+    }
 }
 
 fn ignored(reason: &str) -> Verdict {
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,7 +1,13 @@
 //! The log's folds: every reader computes the same state from records in offset order.
 
+mod backoff;
 mod config;
+mod lease;
+mod snapshot;
 mod tail;
 
+pub use backoff::Backoff;
 pub use config::{ConfigFold, ConfigState, KeyInfo};
+pub use lease::{Lease, LeaseChange, LeaseFold};
+pub use snapshot::SnapshotClock;
 pub use tail::{ConfigLog, Freshness};
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -7,17 +7,12 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::{ConfigFold, ConfigState};
+use super::{Backoff, ConfigFold, ConfigState};
 use crate::edge::{EdgeResult, Log, Stream};
 use crate::wire::{ConfigBody, ConfigRecord, ConfigSnapshot, LogPage, Verdict};
 
 /// Longest wait of one read at the log's head.
 const POLL_WAIT: Duration = Duration::from_millis(800);
-/// First pause after a failed read; it doubles with each failure.
-const BACKOFF_FIRST: Duration = Duration::from_millis(50);
-/// Longest pause after failed reads.
-const BACKOFF_MAX: Duration = Duration::from_secs(1);
-
 /// When this process last knew the log's head.
 #[derive(Debug)]
 pub struct Freshness {
@@ -103,7 +98,7 @@
     pub async fn submit(&self, record: &ConfigRecord, deadline: Instant) -> Option<Verdict> {
         let text = serde_json::to_string(record).ok()?;
         let mut next = self.watch();
-        let mut backoff = BACKOFF_FIRST;
+        let mut backoff = Backoff::default();
         while Instant::now() < deadline {
             if let Some(verdict) = self.verdict(&record.id) {
                 return Some(verdict);
@@ -114,22 +109,20 @@
                 let _ = tokio::time::timeout_at(deadline.into(), folded).await;
                 continue;
             }
-            tokio::time::sleep(jittered(backoff)).await;
-            backoff = (backoff * 2).min(BACKOFF_MAX);
+            backoff.pause().await;
         }
         self.verdict(&record.id)
     }
 
     /// Follows the stream for ever.
     pub async fn follow(&self) {
-        let mut backoff = BACKOFF_FIRST;
+        let mut backoff = Backoff::default();
         loop {
             match self.step().await {
-                Ok(()) => backoff = BACKOFF_FIRST,
+                Ok(()) => backoff.reset(),
                 Err(error) => {
                     spdlog::warn!("log read failed", kv: { error = error.to_string() });
-                    tokio::time::sleep(jittered(backoff)).await;
-                    backoff = (backoff * 2).min(BACKOFF_MAX);
+                    backoff.pause().await;
                 }
             }
         }
@@ -183,8 +176,3 @@
         }
     }
 }
-
-/// A pause between half of `pause` and all of it.
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::random_range(0.5..=1.0))
-}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -59,6 +59,12 @@
     #[doc = "snapshot\n\nThe folded state of all records before offset `upto`."]
     #[serde(rename = "snapshot")]
     Snapshot { state: ConfigSnapshot, upto: u64 },
+    #[doc = "server_mark\n\nMarks a backend server as leaving, or takes the mark away."]
+    #[serde(rename = "server_mark")]
+    ServerMark {
+        leaving: bool,
+        server: ::std::string::String,
+    },
 }
 #[doc = "One record of the configuration stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -71,6 +77,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigSnapshot {
     pub keys: ::std::vec::Vec<KeyEntry>,
+    #[doc = "Servers that are marked as leaving."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub leaving: ::std::vec::Vec<::std::string::String>,
     pub manifest: ::std::string::String,
     pub revision: u64,
     pub rounds: ::std::vec::Vec<RoundEntry>,
@@ -309,7 +318,7 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
 pub enum LeaseBody {
-    #[doc = "claim\n\nClaims a lease after the claim at offset `succeeds` (none for the first)."]
+    #[doc = "claim\n\nClaims a lease; `succeeds` is the offset of the role's last record that counted (none for the first)."]
     #[serde(rename = "claim")]
     Claim {
         holder: ::std::string::String,
@@ -323,6 +332,21 @@
     #[doc = "release\n\nGives up the claim at offset `claim`."]
     #[serde(rename = "release")]
     Release { claim: u64, role: Role },
+    #[doc = "snapshot\n\nThe folded leases of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot {
+        leases: ::std::vec::Vec<LeaseEntry>,
+        upto: u64,
+    },
+}
+#[doc = "One role's lease; `last` is the offset of the last record that counted."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct LeaseEntry {
+    pub claim: u64,
+    pub holder: ::std::string::String,
+    pub last: u64,
+    pub released: bool,
+    pub role: Role,
 }
 #[doc = "A lease as its holder sees it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -404,6 +428,9 @@
     Outcome {
         order: ::std::string::String,
         outcome: OrderOutcome,
+        #[doc = "The server that the order was about."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        server: ::std::option::Option<::std::string::String>,
     },
 }
 #[doc = "The end of an order."]
