Fold the usage stream into closed windows

Cause: the platform bills from window reports, and every process must compute the same figures from a log that repeats, loses answers and takes appends late. Counters are cumulative and merged by maximum; the first close record in log order is the cut; later counts go to the window closed next, marked late. An incarnation states the window before which all its counts are in the log, so that its older state is dropped without loss; an incarnation silent for 1,000 closed windows is forgotten, and what it sends later for windows closed before then is listed as expired. Windows are named by their start in Unix seconds, not by a running number: after a change of the window's length a running number would go back, and all counts would be late for ever.

Ruled out: dropping state by the age of a window alone, as a repeat would be charged again.

--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -2,6 +2,8 @@
 
 mod config;
 mod tail;
+mod usage;
 
 pub use config::{ConfigFold, ConfigState, KeyInfo};
 pub use tail::{ConfigLog, Freshness};
+pub use usage::{CLOSINGS_KEPT, UsageFold};
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -503,7 +503,10 @@
     #[serde(rename = "usage_copy")]
     UsageCopy {
         counts: ::std::vec::Vec<UsageCount>,
+        from: u64,
         incarnation: ::std::string::String,
+        open: ::std::vec::Vec<UsageOpen>,
+        seq: u64,
     },
     #[serde(rename = "state_ask")]
     StateAsk,
@@ -882,8 +885,17 @@
     #[serde(rename = "counters")]
     Counters {
         counts: ::std::vec::Vec<UsageCount>,
+        #[doc = "The log holds the last counts of this incarnation for all windows before this one."]
+        from: u64,
         incarnation: ::std::string::String,
+        #[doc = "Requests not yet counted, in place of earlier ones."]
+        open: ::std::vec::Vec<UsageOpen>,
+        #[doc = "Counts the incarnation's records."]
+        seq: u64,
     },
+    #[doc = "snapshot\n\nThe fold of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot { state: UsageSnapshot, upto: u64 },
     #[doc = "close\n\nCloses a window. The first one in log order counts; its offset is the cut."]
     #[serde(rename = "close")]
     Close { window: u64 },
@@ -897,9 +909,20 @@
     pub amount: u64,
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
-    #[doc = "Window number: Unix seconds divided by the window's length."]
+    #[doc = "Start of the window in Unix seconds, a multiple of the window's length."]
     pub window: u64,
 }
+#[doc = "What the fold keeps of one incarnation."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageIncarnation {
+    pub counts: ::std::vec::Vec<UsageCount>,
+    pub from: u64,
+    pub incarnation: ::std::string::String,
+    #[doc = "The latest window counted in."]
+    pub last: u64,
+    pub open: ::std::vec::Vec<UsageOpen>,
+    pub seq: u64,
+}
 #[doc = "One tenant's figure. `late` holds what earlier windows missed."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageLine {
@@ -908,6 +931,13 @@
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
 }
+#[doc = "Requests of a tenant that run and are not yet counted, with the most tokens they may make."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageOpen {
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "One record of the usage stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageRecord {
@@ -920,6 +950,41 @@
     pub lines: ::std::vec::Vec<UsageLine>,
     pub window: u64,
 }
+#[doc = "The state of the usage fold."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageSnapshot {
+    #[doc = "The windows closed last, oldest first."]
+    pub closings: ::std::vec::Vec<u64>,
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    pub incarnations: ::std::vec::Vec<UsageIncarnation>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Closed windows."]
+    pub unreported: ::std::vec::Vec<UsageReport>,
+    #[doc = "Figures of open windows."]
+    pub windows: ::std::vec::Vec<UsageReport>,
+}
+#[doc = "Answer of the operators' usage call."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageStatus {
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Offset up to which the log is folded."]
+    pub next: u64,
+    pub uncertain: ::std::vec::Vec<UsageUncertain>,
+    pub windows: ::std::vec::Vec<UsageWindow>,
+}
+#[doc = "Requests that an incarnation last said to run, and has not counted since."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageUncertain {
+    pub incarnation: ::std::string::String,
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "What is counted."]
 #[derive(
     :: serde :: Deserialize,
@@ -975,6 +1040,68 @@
         value.parse()
     }
 }
+#[doc = "One usage window as operators see it."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageWindow {
+    pub lines: ::std::vec::Vec<UsageLine>,
+    pub state: UsageWindowState,
+    pub window: u64,
+}
+#[doc = "State of a usage window."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum UsageWindowState {
+    #[serde(rename = "open")]
+    Open,
+    #[serde(rename = "closed")]
+    Closed,
+    #[serde(rename = "reported")]
+    Reported,
+}
+impl ::std::fmt::Display for UsageWindowState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Open => f.write_str("open"),
+            Self::Closed => f.write_str("closed"),
+            Self::Reported => f.write_str("reported"),
+        }
+    }
+}
+impl ::std::str::FromStr for UsageWindowState {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "open" => Ok(Self::Open),
+            "closed" => Ok(Self::Closed),
+            "reported" => Ok(Self::Reported),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "What the fold made of a configuration record."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -13,6 +13,7 @@
     OnceAnswer, OnceRequest, Order, OrderAction, OrderBody, OrderOutcome, OrderRecord, OrderResult,
     PeerMessage, Price, Problem, Published, Pull, Pulled, Role, RoundEntry, RoundSpec, Run, Sample,
     SampleAnswer, SampleRequest, Segment, ServerList, ServerLoad, ServerState, ServerStatus,
-    SessionOpen, SessionOpened, Slot, Status, TenantDemand, UsageBody, UsageCount, UsageLine,
-    UsageRecord, UsageReport, UsageUnit, Verdict,
+    SessionOpen, SessionOpened, Slot, Status, TenantDemand, UsageBody, UsageCount,
+    UsageIncarnation, UsageLine, UsageOpen, UsageRecord, UsageReport, UsageSnapshot, UsageStatus,
+    UsageUncertain, UsageUnit, UsageWindow, UsageWindowState, Verdict,
 };
