Append an entry's usage counters about once a second

Counters stay cumulative until the log is known to hold them: a lost answer or an outage of the log costs nothing, as the next record holds the same counts. A window is dropped once it takes no more counts and its last amounts are confirmed; the record says from which window on counts may still change. A clock that goes back cannot reopen such a window. Rollout samples are counted to their tenant. Each record lists the requests that run, so that what an entry takes along when it dies is listed as uncertain.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod usage;
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crate::edge::{HttpLog, HttpServers};
 use crate::http::{Client, Server};
@@ -30,7 +31,10 @@
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
-pub use usage::UsageCounters;
+pub use usage::{UsageBatch, UsageCopies, UsageCounters};
+
+/// Time in which the last counters must reach the log at shutdown.
+const FLUSH: Duration = Duration::from_secs(5);
 
 /// All state of one entry daemon.
 #[derive(Debug)]
@@ -39,7 +43,10 @@
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
     servers: ServerTable,
+    log: Arc<HttpLog>,
     usage: UsageCounters,
+    appends: tokio::sync::Mutex<usage::AppendState>,
+    usage_metrics: usage::UsageMetrics,
     client: Client,
     metrics: Metrics,
     counts: metrics::EntryMetrics,
@@ -57,9 +64,12 @@
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         Ok(Self {
             incarnation: Incarnation::random(),
-            config: Arc::new(ConfigLog::new(log)),
+            config: Arc::new(ConfigLog::new(log.clone())),
+            log,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
+            appends: tokio::sync::Mutex::default(),
+            usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
             client,
@@ -75,6 +85,7 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        tokio::spawn(usage::follow(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
@@ -87,6 +98,7 @@
         });
         crate::util::stop_signal().await?;
         drop(server);
+        usage::flush(&entry, Instant::now() + FLUSH).await;
         Ok(())
     }
 }
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -10,6 +10,7 @@
 
 use super::Entry;
 use super::generate::{Generation, Job};
+use super::usage::Tally;
 
 /// Engine priority of rollout work.
 const PRIORITY_ROLLOUT: u32 = 10;
@@ -33,11 +34,19 @@
         resume: request.resume,
         avoid: request.avoid.into_iter().map(Into::into).collect(),
     };
+    let most = job
+        .max_tokens
+        .saturating_sub(u32::try_from(held).unwrap_or(u32::MAX));
+    let mut tally = Tally::new(entry, &job.tenant, most);
     let mut generation = Generation::new(Arc::clone(entry), job)?;
     let done = loop {
         match generation.next().await {
-            Ok(chunk) if chunk.done => break true,
-            Ok(_) => {}
+            Ok(chunk) => {
+                tally.count(generation.prompt_tokens(), chunk.tokens.len());
+                if chunk.done {
+                    break true;
+                }
+            }
             Err(refusal) if generation.tokens().len() == held => return Err(refusal),
             Err(_) => break false,
         }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -8,13 +8,14 @@
 
 use crate::http::{Refusal, RefusalKind, Response, streamed, whole};
 use crate::util::{random_id, unix_ms};
-use crate::wire::{EngineChunk, UsageUnit};
+use crate::wire::EngineChunk;
 
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
 use super::auth::{self, Caller};
 use super::generate::{Generation, Job};
 use super::leak;
+use super::usage::Tally;
 
 /// Engine priority of live requests.
 const PRIORITY_LIVE: u32 = 0;
@@ -49,9 +50,10 @@
         resume: Vec::new(),
         avoid: Vec::new(),
     };
+    let most = job.max_tokens;
     let generation = Generation::new(Arc::clone(entry), job)?;
     let mut relay = Relay {
-        tally: Tally::new(entry, &caller),
+        tally: Tally::new(entry, &caller.tenant, most),
         entry: Arc::clone(entry),
         caller,
         shape,
@@ -70,43 +72,6 @@
     }
 }
 
-/// Tokens of one request, added to the usage counters when it is dropped.
-#[derive(Debug)]
-struct Tally {
-    entry: Arc<Entry>,
-    caller: Caller,
-    tokens_in: u64,
-    tokens_out: u64,
-}
-
-impl Tally {
-    fn new(entry: &Arc<Entry>, caller: &Caller) -> Self {
-        Self {
-            entry: Arc::clone(entry),
-            caller: caller.clone(),
-            tokens_in: 0,
-            tokens_out: 0,
-        }
-    }
-}
-
-impl Drop for Tally {
-    fn drop(&mut self) {
-        if self.tokens_out == 0 {
-            return;
-        }
-        let window = self.entry.config.state().manifest.window;
-        let tenant = &self.caller.tenant;
-        let amounts = [
-            (UsageUnit::Requests, 1),
-            (UsageUnit::TokensIn, self.tokens_in),
-            (UsageUnit::TokensOut, self.tokens_out),
-        ];
-        self.entry.usage.add(unix_ms(), window, tenant, &amounts);
-        self.entry.counts.tokens(tenant, self.tokens_out);
-    }
-}
-
 /// Relays one generation to one caller.
 struct Relay {
     entry: Arc<Entry>,
@@ -135,8 +100,8 @@
             let detail = auth::invalid().detail;
             return Err(Refusal::unknown(RefusalKind::KeyInvalid, detail));
         }
-        self.tally.tokens_in = u64::from(self.generation.prompt_tokens());
-        self.tally.tokens_out += chunk.tokens.len() as u64;
+        let prompt = self.generation.prompt_tokens();
+        self.tally.count(prompt, chunk.tokens.len());
         Ok(chunk)
     }
 
--- /dev/null
+++ b/src/entry/usage/append.rs
@@ -0,0 +1,108 @@
+//! Appends an entry's counters to the log.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use opentelemetry::metrics::{Counter, Meter};
+
+use crate::edge::{Log, Stream};
+use crate::util::{jittered, unix_ms};
+use crate::wire::UsageOpen;
+
+use super::super::Entry;
+use super::window_start;
+
+/// Longest pause between two appends while counters change.
+const APPEND_PAUSE: Duration = Duration::from_millis(1_250);
+/// First pause after a failed append; it doubles with each failure.
+const BACKOFF_FIRST: Duration = Duration::from_millis(100);
+/// Longest pause after failed appends.
+const BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+/// Instruments of the appends.
+#[derive(Debug)]
+pub(in crate::entry) struct UsageMetrics {
+    records: Counter<u64>,
+    bytes: Counter<u64>,
+    failures: Counter<u64>,
+}
+
+impl UsageMetrics {
+    pub(in crate::entry) fn new(meter: &Meter) -> Self {
+        let records = meter
+            .u64_counter("basillead_usage_records")
+            .with_description("Usage records that the log took.");
+        let bytes = meter
+            .u64_counter("basillead_usage_record_bytes")
+            .with_description("Bytes of the usage records that the log took.");
+        let failures = meter
+            .u64_counter("basillead_usage_append_failures")
+            .with_description("Appends of usage records without an answer.");
+        Self {
+            records: records.build(),
+            bytes: bytes.build(),
+            failures: failures.build(),
+        }
+    }
+}
+
+/// What the appends remember.
+#[derive(Debug, Default)]
+pub(in crate::entry) struct AppendState {
+    seq: u64,
+    open: Vec<UsageOpen>,
+}
+
+/// Appends the counters that changed, about once a second, for ever.
+pub(in crate::entry) async fn follow(entry: Arc<Entry>) {
+    let mut backoff = BACKOFF_FIRST;
+    loop {
+        if append(&entry).await {
+            backoff = BACKOFF_FIRST;
+            tokio::time::sleep(jittered(APPEND_PAUSE)).await;
+        } else {
+            tokio::time::sleep(jittered(backoff)).await;
+            backoff = (backoff * 2).min(BACKOFF_MAX);
+        }
+    }
+}
+
+/// Appends what is left until the log holds it, or until `deadline`.
+pub(in crate::entry) async fn flush(entry: &Entry, deadline: Instant) {
+    while !append(entry).await {
+        if Instant::now() >= deadline {
+            spdlog::error!("usage counters were not appended at shutdown");
+            return;
+        }
+        tokio::time::sleep(BACKOFF_FIRST).await;
+    }
+}
+
+/// Appends one record if anything changed. Returns whether the log holds all counts.
+///
+/// A record whose answer was lost is not repeated: the next one holds its counts too.
+async fn append(entry: &Entry) -> bool {
+    let length = entry.config.state().manifest.window;
+    let mut state = entry.appends.lock().await;
+    let batch = entry.usage.batch(window_start(unix_ms(), length));
+    if batch.counts.is_empty() && batch.open == state.open {
+        return true;
+    }
+    state.seq += 1;
+    let record = batch.record(&entry.incarnation, state.seq);
+    let Ok(text) = serde_json::to_string(&record) else {
+        return true;
+    };
+    let bytes = text.len() as u64;
+    let metrics = &entry.usage_metrics;
+    if let Err(error) = entry.log.append(Stream::Usage, text).await {
+        metrics.failures.add(1, &[]);
+        spdlog::warn!("usage append failed", kv: { error = error.to_string() });
+        return false;
+    }
+    metrics.records.add(1, &[]);
+    metrics.bytes.add(bytes, &[]);
+    entry.usage.confirm(&batch);
+    state.open = batch.open;
+    true
+}
--- /dev/null
+++ b/src/entry/usage/mod.rs
@@ -0,0 +1,190 @@
+//! Usage counters of one incarnation: cumulative by window, tenant and unit.
+
+mod append;
+mod copies;
+mod tally;
+#[cfg(test)]
+mod tests;
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+
+use crate::names::{Incarnation, Tenant};
+use crate::util::random_id;
+use crate::wire::{PeerMessage, UsageBody, UsageCount, UsageOpen, UsageRecord, UsageUnit};
+
+pub(super) use append::{AppendState, UsageMetrics, flush, follow};
+pub use copies::UsageCopies;
+pub(super) use tally::Tally;
+
+/// Shards, each under its own lock.
+const SHARDS: usize = 8;
+/// Milliseconds in a second.
+const SECOND_MS: u64 = 1_000;
+
+/// Start of the window that holds an instant; both in Unix seconds but for `now_ms`.
+#[must_use]
+pub fn window_start(now_ms: u64, length: u64) -> u64 {
+    let now = now_ms / SECOND_MS;
+    now - now % length.max(1)
+}
+
+/// A count, and what of it the log is known to hold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    amount: u64,
+    logged: u64,
+}
+
+/// Requests that run, and the most tokens that they may make.
+#[derive(Clone, Copy, Debug, Default)]
+struct Running {
+    requests: u64,
+    tokens: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shard {
+    /// No count is added to windows before this one any more.
+    edge: u64,
+    counts: BTreeMap<(u64, Tenant, UsageUnit), Count>,
+    running: BTreeMap<Tenant, Running>,
+}
+
+/// Cumulative counters in shards.
+#[derive(Debug, Default)]
+pub struct UsageCounters {
+    shards: [Mutex<Shard>; SHARDS],
+}
+
+/// Counts that the log is not known to hold, as they stood at one time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UsageBatch {
+    /// The log holds all counts for windows before this one.
+    pub from: u64,
+    /// The counts.
+    pub counts: Vec<UsageCount>,
+    /// Requests that run.
+    pub open: Vec<UsageOpen>,
+}
+
+impl UsageBatch {
+    /// The record that appends this batch.
+    #[must_use]
+    pub fn record(&self, incarnation: &Incarnation, seq: u64) -> UsageRecord {
+        UsageRecord {
+            body: UsageBody::Counters {
+                counts: self.counts.clone(),
+                from: self.from,
+                incarnation: incarnation.to_string(),
+                open: self.open.clone(),
+                seq,
+            },
+            id: random_id(),
+        }
+    }
+
+    /// The message that hands this batch to a peer, in place of earlier ones.
+    #[must_use]
+    pub fn copy(&self, incarnation: &Incarnation, seq: u64) -> PeerMessage {
+        PeerMessage::UsageCopy {
+            counts: self.counts.clone(),
+            from: self.from,
+            incarnation: incarnation.to_string(),
+            open: self.open.clone(),
+            seq,
+        }
+    }
+}
+
+impl UsageCounters {
+    fn shard(&self, tenant: &Tenant) -> &Mutex<Shard> {
+        let sum = tenant.as_str().bytes().map(usize::from).sum::<usize>();
+        &self.shards[sum % SHARDS]
+    }
+
+    /// Adds amounts of a tenant to the window of `now_ms`; `length` is in seconds.
+    pub fn add(&self, now_ms: u64, length: u64, tenant: &Tenant, amounts: &[(UsageUnit, u64)]) {
+        let mut shard = self.shard(tenant).lock();
+        let window = window_start(now_ms, length).max(shard.edge);
+        for (unit, amount) in amounts {
+            let key = (window, tenant.clone(), *unit);
+            shard.counts.entry(key).or_default().amount += amount;
+        }
+    }
+
+    /// Notes that a request runs which may make `tokens`.
+    pub(super) fn begin(&self, tenant: &Tenant, tokens: u64) {
+        let mut shard = self.shard(tenant).lock();
+        let running = shard.running.entry(tenant.clone()).or_default();
+        running.requests += 1;
+        running.tokens += tokens;
+    }
+
+    /// Notes that a request which might have made `tokens` ended.
+    pub(super) fn end(&self, tenant: &Tenant, tokens: u64) {
+        let mut shard = self.shard(tenant).lock();
+        let Some(running) = shard.running.get_mut(tenant) else {
+            return;
+        };
+        running.requests = running.requests.saturating_sub(1);
+        running.tokens = running.tokens.saturating_sub(tokens);
+        if running.requests == 0 {
+            shard.running.remove(tenant);
+        }
+    }
+
+    /// The counts that the log is not known to hold; `edge` is the window of now.
+    ///
+    /// Windows before `edge` take no more counts from here on, even if the clock goes back,
+    /// and those whose counts the log holds are dropped.
+    pub fn batch(&self, edge: u64) -> UsageBatch {
+        let mut batch = UsageBatch {
+            from: edge,
+            ..UsageBatch::default()
+        };
+        for shard in &self.shards {
+            shard.lock().collect(edge, &mut batch);
+        }
+        batch.open.sort_by(|a, b| a.tenant.cmp(&b.tenant));
+        batch
+    }
+
+    /// Notes that the log holds a batch.
+    pub fn confirm(&self, batch: &UsageBatch) {
+        for count in &batch.counts {
+            let tenant = Tenant::from(&*count.tenant);
+            let mut shard = self.shard(&tenant).lock();
+            if let Some(known) = shard.counts.get_mut(&(count.window, tenant, count.unit)) {
+                known.logged = known.logged.max(count.amount);
+            }
+        }
+    }
+}
+
+impl Shard {
+    fn collect(&mut self, edge: u64, batch: &mut UsageBatch) {
+        self.edge = self.edge.max(edge);
+        self.counts
+            .retain(|(window, ..), count| *window >= edge || count.amount > count.logged);
+        for ((window, tenant, unit), count) in &self.counts {
+            if count.amount == count.logged {
+                continue;
+            }
+            batch.from = batch.from.min(*window);
+            batch.counts.push(UsageCount {
+                amount: count.amount,
+                tenant: tenant.to_string(),
+                unit: *unit,
+                window: *window,
+            });
+        }
+        let open = self.running.iter().map(|(tenant, running)| UsageOpen {
+            requests: running.requests,
+            tenant: tenant.to_string(),
+            tokens: running.tokens,
+        });
+        batch.open.extend(open);
+    }
+}
--- /dev/null
+++ b/src/entry/usage/tally.rs
@@ -0,0 +1,59 @@
+//! What one request used, counted when it ends.
+
+use std::sync::Arc;
+
+use crate::names::Tenant;
+use crate::util::unix_ms;
+use crate::wire::UsageUnit;
+
+use super::super::Entry;
+
+/// Tokens of one request, added to the usage counters when it is dropped.
+///
+/// The request is charged to the window in which it ends.
+#[derive(Debug)]
+pub(in crate::entry) struct Tally {
+    entry: Arc<Entry>,
+    tenant: Tenant,
+    most: u64,
+    tokens_in: u64,
+    tokens_out: u64,
+}
+
+impl Tally {
+    /// Starts counting a request that may make `most` tokens.
+    pub(in crate::entry) fn new(entry: &Arc<Entry>, tenant: &Tenant, most: u32) -> Self {
+        let most = u64::from(most);
+        entry.usage.begin(tenant, most);
+        Self {
+            entry: Arc::clone(entry),
+            tenant: tenant.clone(),
+            most,
+            tokens_in: 0,
+            tokens_out: 0,
+        }
+    }
+
+    /// Counts `made` further tokens; `prompt` is the length of the whole prompt.
+    pub(in crate::entry) fn count(&mut self, prompt: u32, made: usize) {
+        self.tokens_in = u64::from(prompt);
+        self.tokens_out += made as u64;
+    }
+}
+
+impl Drop for Tally {
+    fn drop(&mut self) {
+        if self.tokens_out > 0 {
+            let window = self.entry.config.state().manifest.window;
+            let amounts = [
+                (UsageUnit::Requests, 1),
+                (UsageUnit::TokensIn, self.tokens_in),
+                (UsageUnit::TokensOut, self.tokens_out),
+            ];
+            let usage = &self.entry.usage;
+            usage.add(unix_ms(), window, &self.tenant, &amounts);
+            self.entry.counts.tokens(&self.tenant, self.tokens_out);
+        }
+        self.entry.usage.end(&self.tenant, self.most);
+    }
+}
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -9,6 +9,7 @@
 
 use super::{ConfigFold, ConfigState};
 use crate::edge::{EdgeResult, Log, Stream};
+use crate::util::jittered;
 use crate::wire::{ConfigBody, ConfigRecord, ConfigSnapshot, LogPage, Verdict};
 
 /// Longest wait of one read at the log's head.
@@ -183,8 +184,3 @@
         }
     }
 }
-
-/// A pause between half of `pause` and all of it.
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::random_range(0.5..=1.0))
-}
--- a/src/util.rs
+++ b/src/util.rs
@@ -39,6 +39,12 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// A pause between half of `pause` and all of it.
+#[must_use]
+pub fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.5..=1.0))
+}
+
 /// Waits for SIGTERM or SIGINT.
 ///
 /// # Errors
