--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,5 +14,6 @@
     OrderRecord, OrderResult, PeerMessage, Price, Problem, Published, Pull, Pulled, Role,
     RoundEntry, RoundSpec, Run, Sample, SampleAnswer, SampleRequest, Segment, ServerList,
     ServerLoad, ServerState, ServerStatus, SessionOpen, SessionOpened, Slot, Status, TenantDemand,
-    UsageBody, UsageCount, UsageLine, UsageRecord, UsageReport, UsageUnit, Verdict,
+    UsageBody, UsageCount, UsageIncarnation, UsageLine, UsageOpen, UsageRecord, UsageReport,
+    UsageSnapshot, UsageStatus, UsageUncertain, UsageUnit, UsageWindow, UsageWindowState, Verdict,
 };
