Admit requests through weighted fair queues that refuse early

Cause: every request went straight to a backend server, so that one tenant's flood made all others wait, and what could not be whole in time ran all the same. Start-time fair queueing on tokens was taken over deficit round robin, because the tokens that run before a request (and so its wait) follow from the virtual times. Tenants' token limits are divided by demand; until the digests arrive each entry counts only itself.

--- /dev/null
+++ b/src/entry/enter.rs
@@ -0,0 +1,241 @@
+//! A request's way in: its deadline, its tenant's limit, then the queue of its pool.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+
+use crate::http::{Refusal, RefusalKind};
+use crate::names::{Pool, Tenant};
+
+use super::Entry;
+use super::admit::{Bounds, Permit};
+use super::fair::{Ask, Class};
+
+/// Header in which a caller states how long it waits.
+const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+/// Bytes of a prompt that take an engine as long as one token of an answer.
+const PROMPT_BYTES_A_TOKEN: f64 = 64.0;
+/// Time between two looks at what bounds the queues.
+const REFRESH: Duration = Duration::from_millis(100);
+/// Tenant name under which calls without a key wait.
+const OPEN_TENANT: &str = "";
+
+/// A request that wants to run on a pool.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival<'a> {
+    /// The pool.
+    pub pool: &'a Pool,
+    /// Whose request it is; none on open routes.
+    pub tenant: Option<&'a Tenant>,
+    /// The work that it belongs to.
+    pub class: Class,
+    /// Its expected cost in tokens.
+    pub cost: f64,
+    /// Whether its cost counts towards its tenant's limit.
+    pub limited: bool,
+    /// When its answer must be whole.
+    pub deadline: Instant,
+}
+
+/// A request that may run. Dropping it lets the next one run.
+#[derive(Debug)]
+pub(super) struct Entered {
+    entry: Arc<Entry>,
+    tenant: Tenant,
+    /// Tokens taken of the tenant's limit.
+    counted: f64,
+    used: f64,
+    permit: Permit,
+}
+
+impl Entered {
+    /// States the tokens that the request took so far.
+    pub(super) fn settle(&mut self, used: f64) {
+        self.used = used;
+        self.permit.settle(used);
+    }
+
+    /// Waits until live work needs this place, which only rollout work is asked.
+    pub(super) async fn room_wanted(&self) {
+        self.permit.room_wanted().await;
+    }
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        if self.counted > 0.0 {
+            let unused = self.counted - self.used;
+            self.entry.limits.give_back(&self.tenant, unused);
+        }
+    }
+}
+
+/// The expected cost in tokens of a prompt of `bytes` and an answer of `tokens`.
+pub(super) fn cost(bytes: usize, tokens: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "an estimate")]
+    let (bytes, tokens) = (bytes as f64, tokens as f64);
+    tokens + bytes / PROMPT_BYTES_A_TOKEN
+}
+
+/// The instant by which a request's answer must be whole.
+///
+/// # Errors
+/// The caller stated a timeout that is no positive number.
+pub(super) fn deadline(
+    headers: &HeaderMap,
+    limit_ms: u64,
+    now: Instant,
+) -> Result<Instant, Refusal> {
+    let stated = match headers.get(TIMEOUT_HEADER) {
+        None => limit_ms,
+        Some(value) => {
+            let text = value.to_str().unwrap_or_default();
+            let parsed = text.parse().ok().filter(|ms| *ms > 0);
+            parsed.ok_or_else(|| {
+                let detail = format!("{TIMEOUT_HEADER} is not a positive number");
+                Refusal::not_run(RefusalKind::Malformed, detail)
+            })?
+        }
+    };
+    Ok(now + Duration::from_millis(stated.min(limit_ms)))
+}
+
+/// Waits until a request may run.
+///
+/// # Errors
+/// The tenant is over its limit, or the request cannot run in time; it did not run.
+pub(super) async fn enter(entry: &Arc<Entry>, arrival: Arrival<'_>) -> Result<Entered, Refusal> {
+    let state = entry.config.state();
+    let open = Tenant::from(OPEN_TENANT);
+    let tenant = arrival.tenant.unwrap_or(&open);
+    let spec = state.manifest.tenants.get(tenant);
+    let rate = spec.map_or(0, |spec| spec.rate);
+    let counted = if arrival.limited { arrival.cost } else { 0.0 };
+    if arrival.limited {
+        let elsewhere = entry.others.load().demand_of(tenant);
+        let rate = float(rate);
+        let taken = entry
+            .limits
+            .take(tenant, counted, rate, elsewhere, Instant::now());
+        taken.map_err(over_limit)?;
+    }
+    let ask = Ask {
+        tenant,
+        weight: spec.map_or(1.0, |spec| float(spec.weight)),
+        class: arrival.class,
+        cost: arrival.cost,
+        deadline: arrival.deadline,
+    };
+    let admitted = entry.admission.admit(arrival.pool, ask).await;
+    if admitted.is_err() {
+        entry.limits.give_back(tenant, counted);
+    }
+    Ok(Entered {
+        entry: Arc::clone(entry),
+        tenant: tenant.clone(),
+        counted,
+        used: 0.0,
+        permit: admitted?,
+    })
+}
+
+fn over_limit(seconds: f64) -> Refusal {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value lies between 1 and 60"
+    )]
+    let retry = seconds.ceil() as u64;
+    let detail = "the tenant is over its limit of tokens a second";
+    Refusal::not_run(RefusalKind::OverLimit, detail).retry_after(retry)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "settings are far below 2^52")]
+fn float(number: u64) -> f64 {
+    number as f64
+}
+
+/// Keeps the bounds of all queues up to date for ever.
+pub(super) async fn follow_bounds(entry: Arc<Entry>) {
+    loop {
+        refresh(&entry, Instant::now());
+        tokio::time::sleep(REFRESH).await;
+    }
+}
+
+/// Sets the bounds of all queues by the servers that run and what others run on them.
+fn refresh(entry: &Entry, now: Instant) {
+    let state = entry.config.state();
+    let others = entry.others.load();
+    for (pool, spec) in &state.manifest.pools {
+        let servers = entry.servers.running(pool);
+        let capacity = float(spec.slots) * float(servers.len() as u64);
+        let elsewhere = others.inflight_on(&servers);
+        let own = f64::from(entry.admission.running(pool));
+        let bounds = Bounds {
+            running: own_share(capacity, own, elsewhere, others.entries()),
+            waiting: state.manifest.limits.queue,
+            policy: state.manifest.policy.queue,
+        };
+        entry.admission.refresh(pool, bounds, now);
+    }
+    entry.counts.waiting(entry.admission.waiting());
+}
+
+/// Requests that this entry may run of a `capacity` shared by `entries`.
+///
+/// Each entry has an equal part; it grows beyond it into unused places a part at a time,
+/// so that entries which see the same lagged figures do not all take the same places.
+fn own_share(capacity: f64, own: f64, elsewhere: f64, entries: u32) -> u32 {
+    let entries = f64::from(entries.max(1));
+    let unused = (capacity - own - elsewhere).max(0.0);
+    let grown = own + unused / entries;
+    let share = (capacity / entries).max(grown).min(capacity).ceil();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "between 0 and the slots of a pool"
+    )]
+    let share = share as u32;
+    share
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn own_share_is_equal_under_full_load() {
+        assert_eq!(own_share(90.0, 30.0, 60.0, 3), 30);
+        assert_eq!(own_share(90.0, 80.0, 60.0, 3), 80);
+    }
+
+    #[test]
+    fn own_share_grows_into_unused_places() {
+        let mut own = 0.0;
+        for _ in 0..30 {
+            own = f64::from(own_share(90.0, own, 10.0, 3));
+        }
+        assert!((own - 80.0).abs() <= 1.0, "{own}");
+    }
+
+    #[test]
+    fn own_share_is_nothing_without_servers() {
+        assert_eq!(own_share(0.0, 5.0, 0.0, 3), 0);
+    }
+
+    #[test]
+    fn deadline_takes_stated_timeout_up_to_limit() {
+        let now = Instant::now();
+        let mut headers = HeaderMap::new();
+        let until = |ms| now + Duration::from_millis(ms);
+        assert_eq!(deadline(&headers, 500, now), Ok(until(500)));
+        headers.insert(TIMEOUT_HEADER, http::HeaderValue::from_static("200"));
+        assert_eq!(deadline(&headers, 500, now), Ok(until(200)));
+        assert_eq!(deadline(&headers, 100, now), Ok(until(100)));
+        headers.insert(TIMEOUT_HEADER, http::HeaderValue::from_static("-1"));
+        let refused = deadline(&headers, 500, now).unwrap_err();
+        assert_eq!(refused.kind, RefusalKind::Malformed);
+    }
+}
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -84,6 +84,11 @@
         })
     }
 
+    /// The pool whose servers make the answer.
+    pub(super) fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
     /// All tokens so far, those held at the start included.
     pub(super) fn tokens(&self) -> &[String] {
         &self.tokens
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -1,7 +1,7 @@
 //! The entry's own instruments.
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
 use crate::names::Tenant;
 
@@ -16,6 +16,7 @@
     requests: Counter<u64>,
     tokens: Counter<u64>,
     first: Histogram<f64>,
+    waiting: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -32,13 +33,22 @@
             .f64_histogram("basillead_first_token_seconds")
             .with_description("Time from the request's arrival to its first token.")
             .with_boundaries(SECONDS.to_vec());
+        let waiting = meter
+            .u64_gauge("basillead_waiting_requests")
+            .with_description("Requests that wait for leave to run.");
         Self {
+            waiting: waiting.build(),
             requests: requests.build(),
             tokens: tokens.build(),
             first: first.build(),
         }
     }
 
+    /// States how many requests wait.
+    pub fn waiting(&self, requests: usize) {
+        self.waiting.record(requests as u64, &[]);
+    }
+
     /// Counts an answered request. `outcome` is `ok` or the refusal's kind.
     pub fn request(&self, tenant: &str, kind: &'static str, outcome: &str) {
         let labels = [
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,13 +4,18 @@
 //! [`generate`] (model engines) or [`plain`] (plain services).
 
 mod address;
+mod admit;
 mod api;
 mod auth;
 mod choose;
 mod engine;
+mod enter;
+mod fair;
 mod generate;
 mod leak;
+mod limit;
 mod metrics;
+mod others;
 mod path;
 mod plain;
 mod sample;
@@ -21,6 +26,8 @@
 
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
+
 use crate::edge::{HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
@@ -41,6 +48,9 @@
     config: Arc<ConfigLog>,
     servers: ServerTable,
     usage: UsageCounters,
+    admission: admit::Admission,
+    limits: limit::Limits,
+    others: ArcSwap<others::Others>,
     client: Client,
     metrics: Metrics,
     counts: metrics::EntryMetrics,
@@ -61,6 +71,9 @@
             config: Arc::new(ConfigLog::new(log)),
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
+            admission: admit::Admission::default(),
+            limits: limit::Limits::default(),
+            others: ArcSwap::default(),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
             client,
@@ -76,6 +89,7 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, header};
@@ -13,9 +13,13 @@
 use crate::wire::UsageUnit;
 
 use super::Entry;
+use super::enter::{self, Arrival};
+use super::fair::Class;
 use super::leak;
 use super::servers::Need;
 
+/// Cost of a call, which has no tokens.
+const CALL_COST: f64 = 1.0;
 /// Servers that a repeatable call may be tried on.
 const ATTEMPTS_MAX: usize = 3;
 /// Header that carries the key of a call that must not run twice.
@@ -75,7 +79,7 @@
         let detail = "the idempotency key names no known entry";
         return Err(Refusal::not_run(RefusalKind::KeyUnbound, detail));
     }
-    let answer = run(entry, route, &call).await?;
+    let answer = run(entry, route, tenant, &call).await?;
     if let Some(tenant) = tenant {
         let window = entry.config.state().manifest.window;
         let amounts = [(UsageUnit::Requests, 1)];
@@ -91,11 +95,22 @@
 
 /// Runs a call on one server, or on others while it provably did not run or may repeat.
 pub(super) async fn run(
-    entry: &Entry,
+    entry: &Arc<Entry>,
     route: &RouteSpec,
+    tenant: Option<&Tenant>,
     call: &PlainCall,
 ) -> Result<PlainAnswer, Refusal> {
-    let deadline = Instant::now() + Duration::from_millis(route.timeout);
+    let deadline = enter::deadline(&call.headers, route.timeout, Instant::now())?;
+    let arrival = Arrival {
+        pool: &route.pool,
+        tenant,
+        class: Class::Live,
+        cost: CALL_COST,
+        limited: false,
+        deadline,
+    };
+    let mut entered = enter::enter(entry, arrival).await?;
+    entered.settle(CALL_COST);
     let repeat = may_repeat(route, &call.method);
     let mut avoid: Vec<ServerId> = Vec::new();
     let mut sent = false;
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -9,6 +9,8 @@
 use crate::wire::{SampleAnswer, SampleRequest};
 
 use super::Entry;
+use super::enter::{self, Arrival};
+use super::fair::Class;
 use super::generate::{Generation, Job};
 
 /// Engine priority of rollout work.
@@ -33,13 +35,34 @@
         resume: request.resume,
         avoid: request.avoid.into_iter().map(Into::into).collect(),
     };
+    let tenant = job.tenant.clone();
+    let left = (job.max_tokens as usize).saturating_sub(held);
+    let (cost, deadline) = (enter::cost(job.prompt.len(), left), job.deadline);
     let mut generation = Generation::new(Arc::clone(entry), job)?;
+    let arrival = Arrival {
+        pool: generation.pool(),
+        tenant: Some(&tenant),
+        class: Class::Rollout,
+        cost,
+        limited: true,
+        deadline,
+    };
+    let mut entered = enter::enter(entry, arrival).await?;
     let done = loop {
-        match generation.next().await {
-            Ok(chunk) if chunk.done => break true,
-            Ok(_) => {}
-            Err(refusal) if generation.tokens().len() == held => return Err(refusal),
-            Err(_) => break false,
+        let next = tokio::select! {
+            next = generation.next() => Some(next),
+            // Live work needs the place; what is made so far goes back and is resumed later.
+            () = entered.room_wanted(), if generation.tokens().len() > held => None,
+        };
+        match next {
+            Some(Ok(chunk)) => {
+                entered.settle(enter::cost(0, generation.tokens().len() - held));
+                if chunk.done {
+                    break true;
+                }
+            }
+            Some(Err(refusal)) if generation.tokens().len() == held => return Err(refusal),
+            Some(Err(_)) | None => break false,
         }
     };
     for segment in generation.segments() {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -14,7 +14,7 @@
 use super::Entry;
 use super::api::Call;
 use super::plain::{self, PlainCall};
-use super::{address, auth, path, sample, stream};
+use super::{address, auth, enter, path, sample, stream};
 
 /// Age after which the configuration no longer counts as fresh.
 const FRESH_FOR: Duration = Duration::from_secs(3);
@@ -113,8 +113,10 @@
     check_headers(&state, head)?;
     check_fresh(entry)?;
     let caller = auth::caller(&state, &head.headers)?;
+    let limit = state.manifest.limits.request;
+    let deadline = enter::deadline(&head.headers, limit, Instant::now())?;
     let body = take_body(&state, body).await?;
-    stream::complete(entry, call, caller, &body).await
+    stream::complete(entry, call, caller, deadline, &body).await
 }
 
 async fn internal_sample(
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -146,6 +146,16 @@
         Some(Inflight { server })
     }
 
+    /// The servers of a pool that may get new work.
+    #[must_use]
+    pub fn running(&self, pool: &Pool) -> Vec<ServerId> {
+        let known = self.known.load();
+        let running = known
+            .iter()
+            .filter(|server| server.running && server.pool == *pool);
+        running.map(|server| server.id.clone()).collect()
+    }
+
     /// Keeps new work from a server for a while.
     pub fn suspect(&self, server: &KnownServer, now: Instant) {
         *server.work.suspect.lock() = Some(now + SUSPECT);
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -1,7 +1,7 @@
 //! Completion calls: from the body to a whole or streamed answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -13,6 +13,8 @@
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
 use super::auth::{self, Caller};
+use super::enter::{self, Arrival, Entered};
+use super::fair::Class;
 use super::generate::{Generation, Job};
 use super::leak;
 
@@ -24,12 +26,14 @@
     entry: &Arc<Entry>,
     call: Call,
     caller: Caller,
+    deadline: Instant,
     body: &[u8],
 ) -> Result<Response, Refusal> {
     let arrived = Instant::now();
     let prompt = api::parse(call, body)?;
     leak::refuse_key("prompt", prompt.text.as_bytes())?;
-    let limits = entry.config.state().manifest.limits;
+    let cost = enter::cost(prompt.text.len(), prompt.max_tokens as usize);
+    let base_cost = enter::cost(prompt.text.len(), 0);
     let shape = Shape {
         call,
         id: format!("cmpl-{}", random_id()),
@@ -44,18 +48,29 @@
         max_tokens: prompt.max_tokens,
         priority: PRIORITY_LIVE,
         seed: prompt.seed,
-        deadline: arrived + Duration::from_millis(limits.request),
+        deadline,
         version: None,
         resume: Vec::new(),
         avoid: Vec::new(),
     };
     let generation = Generation::new(Arc::clone(entry), job)?;
+    let arrival = Arrival {
+        pool: generation.pool(),
+        tenant: Some(&caller.tenant),
+        class: Class::Live,
+        cost,
+        limited: true,
+        deadline,
+    };
+    let entered = enter::enter(entry, arrival).await?;
     let mut relay = Relay {
         tally: Tally::new(entry, &caller),
         entry: Arc::clone(entry),
         caller,
         shape,
         generation,
+        entered,
+        base_cost,
         first: None,
         ended: false,
     };
@@ -113,6 +128,8 @@
     caller: Caller,
     shape: Shape,
     generation: Generation,
+    entered: Entered,
+    base_cost: f64,
     tally: Tally,
     first: Option<EngineChunk>,
     ended: bool,
@@ -137,6 +154,8 @@
         }
         self.tally.tokens_in = u64::from(self.generation.prompt_tokens());
         self.tally.tokens_out += chunk.tokens.len() as u64;
+        let made = self.generation.tokens().len();
+        self.entered.settle(self.base_cost + enter::cost(0, made));
         Ok(chunk)
     }
 
