Hand out rollout rounds to trainers by sessions and numbered pulls

A trainer opens a session at any control daemon and states what it holds; each slot is handed out once. A pull carries a number: a repeat gets the same answer again, less what became too old; the next number acknowledges. Samples name the request id that engines echoed, and the oldest version is checked against the version of that very pull.

Ruled out: a record of delivery on the log (hundreds of appends a second, and outages); answers acknowledged by being sent (a lost answer loses its samples).

The tests were seen to fail with the guard out: pull_repeat_* with a repeat that acknowledges, and without the repeat; rounds_refuse_withdrawn_and_cancelled without the second look at key and round.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 mod key;
 mod publish;
 mod remote;
+mod round;
 mod status;
 
 use std::process::ExitCode;
@@ -38,6 +39,8 @@
     Publish(publish::Args),
     #[options(help = "grant, withdraw or list keys")]
     Key(key::Args),
+    #[options(help = "create, show or cancel rollout rounds")]
+    Round(round::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
     Status(status::Args),
 }
@@ -55,6 +58,7 @@
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(&args),
         Command::Key(args) => key::run(&args),
+        Command::Round(args) => round::run(&args),
         Command::Status(args) => status::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control daemon: the operators' and the platform's side.
 
 mod operator;
+mod rounds;
 mod serve;
 
 use std::sync::Arc;
@@ -12,6 +13,8 @@
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
+use rounds::Rounds;
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -20,6 +23,7 @@
     config: Arc<ConfigLog>,
     servers: HttpServers,
     metrics: Metrics,
+    client: Client,
 }
 
 impl Control {
@@ -34,6 +38,7 @@
             incarnation: Incarnation::random(),
             config: Arc::new(ConfigLog::new(log)),
             servers: HttpServers::new(&client, &settings.platform.servers),
+            client: client.clone(),
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             settings,
         })
@@ -49,9 +54,16 @@
         tokio::spawn(async move { config.follow().await });
         let address = control.settings.control.http;
         let threads = control.settings.threads;
+        let rounds = Rounds::new(
+            &control.settings,
+            &control.client,
+            Arc::clone(&control.config),
+        );
+        let rounds = Arc::new(rounds);
+        tokio::spawn(Arc::clone(&rounds).follow());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
-            serve::answer(Arc::clone(&state), request)
+            serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
         })?;
         spdlog::info!("control started", kv: {
             address = address.to_string(),
--- /dev/null
+++ b/src/control/rounds/serve.rs
@@ -0,0 +1,150 @@
+//! The trainers' interface: open a session, pull from it, close it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, StatusCode};
+use serde::de::DeserializeOwned;
+use xitca_web::body::RequestBody;
+
+use crate::entry::bearer;
+use crate::http::{Refusal, RefusalKind, Response, json, read_body};
+use crate::names::{KeyDigest, Tenant};
+use crate::util::unix_ms;
+use crate::wire::{Pull, RoundSpec, SessionOpen, SessionOpened};
+
+use super::Rounds;
+use super::session::Session;
+
+/// Largest body of a trainer's call in bytes.
+const BODY_MAX: usize = 1 << 20;
+/// Time within which a body must arrive.
+const UPLOAD: Duration = Duration::from_secs(10);
+/// Longest wait of one pull.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+/// Age after which the configuration no longer counts as fresh.
+const FRESH_FOR: Duration = Duration::from_secs(3);
+
+/// Opens a session for a round of the key's tenant.
+pub(crate) async fn open(
+    rounds: &Arc<Rounds>,
+    headers: &HeaderMap,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    let key = KeyDigest::of(bearer(headers)?);
+    check_fresh(rounds)?;
+    let open: SessionOpen = parse(body).await?;
+    let spec = check(rounds, &key, &open.round)?;
+    if unix_ms() >= spec.deadline_ms {
+        let detail = format!("the deadline of round {} has passed", spec.name);
+        return Err(Refusal::not_run(RefusalKind::Deadline, detail));
+    }
+    let session = Arc::new(Session::new(spec, &open, key, Instant::now()));
+    let opened = SessionOpened {
+        missing: session.missing(),
+        session: session.id.clone(),
+    };
+    spdlog::info!("session opened", kv: {
+        round = session.spec.name.as_str(),
+        tenant = session.spec.tenant.as_str(),
+        missing = opened.missing,
+    });
+    if !rounds.add(session) {
+        let detail = "this control daemon has too many sessions; open it at another one";
+        return Err(Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(1));
+    }
+    Ok(json(StatusCode::OK, &opened))
+}
+
+/// Answers a pull of a session.
+pub(crate) async fn pull(
+    rounds: &Arc<Rounds>,
+    id: &str,
+    headers: &HeaderMap,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    let key = KeyDigest::of(bearer(headers)?);
+    check_fresh(rounds)?;
+    let pull: Pull = parse(body).await?;
+    let session = find(rounds, &key, id)?;
+    let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
+    let pulled = session.pull(&pull, Instant::now() + wait).await;
+    // The key may have been withdrawn, or the round cancelled, during the wait.
+    check_fresh(rounds)?;
+    find(rounds, &key, id)?;
+    let pulled = pulled.map_err(|last| {
+        let detail = format!("pull {} does not follow pull {last}", pull.seq);
+        Refusal::not_run(RefusalKind::Malformed, detail)
+    })?;
+    let ended = pulled.samples.is_empty() && pulled.missing > 0;
+    if ended && unix_ms() >= session.spec.deadline_ms && session.counts().running == 0 {
+        let missing = pulled.missing;
+        let detail = format!("the round's deadline has passed with {missing} samples missing");
+        return Err(Refusal::unknown(RefusalKind::Deadline, detail));
+    }
+    Ok(json(StatusCode::OK, &pulled))
+}
+
+/// Closes a session that its trainer needs no more.
+pub(crate) fn close(
+    rounds: &Arc<Rounds>,
+    id: &str,
+    headers: &HeaderMap,
+) -> Result<Response, Refusal> {
+    let key = KeyDigest::of(bearer(headers)?);
+    find(rounds, &key, id)?;
+    rounds.remove(id);
+    Ok(json(StatusCode::OK, &()))
+}
+
+async fn parse<T: DeserializeOwned>(body: RequestBody) -> Result<T, Refusal> {
+    let body = read_body(body, BODY_MAX, Instant::now() + UPLOAD).await?;
+    serde_json::from_slice(&body)
+        .map_err(|error| Refusal::not_run(RefusalKind::Malformed, error.to_string()))
+}
+
+/// The session of an id, if the key that opened it made this call and is in force.
+fn find(rounds: &Rounds, key: &KeyDigest, id: &str) -> Result<Arc<Session>, Refusal> {
+    let found = rounds.session(id).filter(|session| session.key == *key);
+    let Some(session) = found else {
+        // A withdrawn key is told so, whatever became of its session.
+        check_key(rounds, key)?;
+        let detail = "no such session; open one and state what you hold";
+        return Err(Refusal::not_run(RefusalKind::NotFound, detail));
+    };
+    check(rounds, key, &session.spec.name)?;
+    Ok(session)
+}
+
+fn check_key(rounds: &Rounds, key: &KeyDigest) -> Result<(), Refusal> {
+    if rounds.config.state().tenant(key).is_some() {
+        return Ok(());
+    }
+    let detail = "the key is unknown or was withdrawn";
+    Err(Refusal::not_run(RefusalKind::KeyInvalid, detail))
+}
+
+/// The round of a name, if it is in force and belongs to the key's tenant.
+fn check(rounds: &Rounds, key: &KeyDigest, name: &str) -> Result<RoundSpec, Refusal> {
+    check_key(rounds, key)?;
+    let state = rounds.config.state();
+    let Some(spec) = state.round(name) else {
+        let detail = format!("no round is named {name}, or it was cancelled");
+        return Err(Refusal::not_run(RefusalKind::NotFound, detail));
+    };
+    if state.tenant(key).map(Tenant::as_str) != Some(spec.tenant.as_str()) {
+        let detail = format!("round {name} belongs to another tenant");
+        return Err(Refusal::not_run(RefusalKind::Forbidden, detail));
+    }
+    Ok(spec.clone())
+}
+
+/// Refuses trainers while the configuration may be out of date.
+fn check_fresh(rounds: &Rounds) -> Result<(), Refusal> {
+    let seen = rounds.config.freshness().seen();
+    if seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR) {
+        return Ok(());
+    }
+    let detail = "this daemon cannot show that its configuration is up to date";
+    Err(Refusal::not_run(RefusalKind::NotFresh, detail).retry_after(1))
+}
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -10,16 +10,45 @@
 use crate::entry::bearer;
 use crate::http::{Refusal, RefusalKind, Request, Response, whole};
 
+use super::rounds::{self, Rounds};
 use super::{Control, operator};
 
 /// Answers one request.
-pub(super) async fn answer(control: Arc<Control>, request: Request) -> Response {
+pub(super) async fn answer(
+    control: Arc<Control>,
+    rounds: Arc<Rounds>,
+    request: Request,
+) -> Response {
     let (head, body) = request.into_parts();
     let (_, body) = body.replace_body(());
-    let answered = dispatch(&control, &head, body).await;
+    let answered = match head.uri.path().strip_prefix("/v1/rounds/sessions") {
+        Some(rest) => trainer(&rounds, rest, &head, body).await,
+        None => dispatch(&control, &head, body).await,
+    };
     answered.unwrap_or_else(|refusal| refusal.response())
 }
 
+/// Answers a trainer's call; `rest` is the path below the sessions.
+async fn trainer(
+    rounds: &Arc<Rounds>,
+    rest: &str,
+    head: &Parts,
+    body: RequestBody,
+) -> Result<Response, Refusal> {
+    let mut parts = rest.trim_start_matches('/').split('/');
+    match (&head.method, parts.next(), parts.next(), parts.next()) {
+        (&Method::POST, Some(""), None, None) => rounds::open(rounds, &head.headers, body).await,
+        (&Method::POST, Some(id), Some("pull"), None) => {
+            rounds::pull(rounds, id, &head.headers, body).await
+        }
+        (&Method::DELETE, Some(id), None, None) => rounds::close(rounds, id, &head.headers),
+        (method, ..) => {
+            let detail = format!("no page for {method} {}", head.uri.path());
+            Err(Refusal::not_run(RefusalKind::NotFound, detail))
+        }
+    }
+}
+
 async fn dispatch(
     control: &Arc<Control>,
     head: &Parts,
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -11,6 +11,8 @@
 
 /// Verdicts that are remembered for whoever appended the records.
 const VERDICTS_KEPT: usize = 4_096;
+/// Most samples of one round.
+const ROUND_SAMPLES_MAX: u64 = 65_536;
 
 /// What is known of a key.
 #[derive(Clone, Debug, PartialEq)]
@@ -228,6 +230,10 @@
         if !manifest.models.contains_key(spec.model.as_str()) {
             return ignored(&format!("no model is named {}", spec.model));
         }
+        let samples = u64::from(spec.groups) * u64::from(spec.samples);
+        if samples == 0 || samples > ROUND_SAMPLES_MAX {
+            return ignored(&format!("expected 1 to {ROUND_SAMPLES_MAX} samples in all"));
+        }
         if self.state.rounds.contains_key(&spec.name) {
             return ignored("a round of this name is known already");
         }
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -68,6 +68,18 @@
     pub choice: ChoicePolicy,
     /// How waiting requests are ordered.
     pub queue: QueuePolicy,
+    /// How the samples of a round are ordered and carried over.
+    pub rounds: RoundPolicy,
+}
+
+/// How the samples of a round are ordered and carried over.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RoundPolicy {
+    /// Long samples and the last ones of groups first; parts are carried over.
+    #[default]
+    Stragglers,
+    /// Groups in order; a sample that broke off is made again from the start.
+    Ordered,
 }
 
 /// How a backend server is chosen.
--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -4,8 +4,8 @@
 use std::ops::RangeInclusive;
 
 use super::{
-    ChoicePolicy, Limits, Manifest, ModelSpec, Policy, PoolKind, PoolSpec, QueuePolicy, RouteSpec,
-    TenantSpec,
+    ChoicePolicy, Limits, Manifest, ModelSpec, Policy, PoolKind, PoolSpec, QueuePolicy,
+    RoundPolicy, RouteSpec, TenantSpec,
 };
 use crate::checked::Table;
 use crate::names::{Model, Pool, Tenant};
@@ -79,7 +79,12 @@
         ("round-robin", ChoicePolicy::RoundRobin),
     ];
     let queues = [("fair", QueuePolicy::Fair), ("fifo", QueuePolicy::Fifo)];
+    let rounds = [
+        ("stragglers", RoundPolicy::Stragglers),
+        ("ordered", RoundPolicy::Ordered),
+    ];
     Policy {
+        rounds: table.choice_or("rounds", RoundPolicy::default(), &rounds),
         choice: table.choice_or("choice", ChoicePolicy::default(), &choices),
         queue: table.choice_or("queue", QueuePolicy::default(), &queues),
     }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -202,7 +202,7 @@
     #[doc = "Seed of this sample."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub seed: ::std::option::Option<u64>,
-    #[doc = "Weight version that is required, when any."]
+    #[doc = "Oldest weight version that may make these tokens, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
@@ -583,6 +583,8 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Pull {
     pub max: u32,
+    #[doc = "1 for the first pull. A repeat carries the same number; the next number acknowledges the last batch."]
+    pub seq: u64,
     pub version: u64,
     pub wait_ms: u64,
 }
@@ -591,6 +593,7 @@
 pub struct Pulled {
     pub missing: u32,
     pub samples: ::std::vec::Vec<Sample>,
+    pub seq: u64,
 }
 #[doc = "What a lease is held for."]
 #[derive(
@@ -727,6 +730,8 @@
 #[doc = "A whole sample with the weight versions that made it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Sample {
+    #[doc = "Request id that the engines echoed."]
+    pub id: ::std::string::String,
     pub segments: ::std::vec::Vec<Segment>,
     pub slot: Slot,
     pub text: ::std::string::String,
@@ -744,13 +749,20 @@
 pub struct SampleRequest {
     pub avoid: ::std::vec::Vec<::std::string::String>,
     pub deadline_ms: u64,
+    #[doc = "Request id, the same for all parts of one sample."]
+    pub id: ::std::string::String,
     pub max_tokens: u32,
     pub model: ::std::string::String,
     pub prompt: ::std::string::String,
     pub resume: ::std::vec::Vec<::std::string::String>,
     pub seed: u64,
     pub segments: ::std::vec::Vec<Segment>,
+    #[doc = "Milliseconds from the first token after which a partial answer is wanted; 0 for never."]
+    pub slice_ms: u64,
     pub tenant: ::std::string::String,
+    #[doc = "Whether it goes before other rollout work."]
+    pub urgent: bool,
+    #[doc = "Oldest weight version that may make it, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,5 +3,7 @@
 
 mod leak;
 mod path;
+mod rounds;
 mod stop;
+mod trainer;
 mod workdir;
--- /dev/null
+++ b/tests/suite/trainer.rs
@@ -0,0 +1,153 @@
+//! A trainer for tests: it pulls rounds and checks every sample that it gets.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use basillead::standin::engine::sample_token;
+use basillead::wire::{Pull, Pulled, Sample, SessionOpen, SessionOpened, Slot};
+use http::{Method, StatusCode};
+
+use crate::workdir::{PATIENCE, Workdir};
+
+/// One trainer with what it holds of one round.
+pub struct Trainer<'a> {
+    dir: &'a Workdir,
+    key: String,
+    round: String,
+    control: usize,
+    controls: usize,
+    session: Option<String>,
+    seq: u64,
+    pub version: u64,
+    pub staleness: u64,
+    pub held: BTreeMap<(u32, u32), Sample>,
+    pub missing: u32,
+}
+
+impl<'a> Trainer<'a> {
+    pub fn new(dir: &'a Workdir, key: &str, round: &str, controls: usize) -> Self {
+        Self {
+            dir,
+            key: key.to_owned(),
+            round: round.to_owned(),
+            control: 0,
+            controls,
+            session: None,
+            seq: 0,
+            version: 1,
+            staleness: 1,
+            held: BTreeMap::new(),
+            missing: u32::MAX,
+        }
+    }
+
+    fn post(&self, path: &str, body: &impl serde::Serialize) -> Option<(StatusCode, Vec<u8>)> {
+        let url = format!(
+            "{}/v1/rounds/sessions{path}",
+            self.dir.control_url(self.control)
+        );
+        let body = serde_json::to_string(body).expect("JSON");
+        let answer = self
+            .dir
+            .call(Method::POST, &url, Some(&self.key), &[], &body)?;
+        Some((answer.status(), answer.body().to_vec()))
+    }
+
+    /// Opens a session that states what is held.
+    pub fn open(&mut self) -> Option<StatusCode> {
+        let slot = |&(group, index): &(u32, u32)| Slot { group, index };
+        let open = SessionOpen {
+            held: self.held.keys().map(slot).collect(),
+            round: self.round.clone(),
+        };
+        let (status, body) = self.post("", &open)?;
+        if status.is_success() {
+            let opened: SessionOpened = serde_json::from_slice(&body).expect("SessionOpened");
+            self.session = Some(opened.session);
+            self.seq = 0;
+            self.missing = opened.missing;
+        }
+        Some(status)
+    }
+
+    /// Sends the next pull and returns the raw answer; nothing is taken over.
+    pub fn pull_raw(&self, max: u32, wait_ms: u64) -> Option<(StatusCode, Vec<u8>)> {
+        let pull = Pull {
+            max,
+            seq: self.seq + 1,
+            version: self.version,
+            wait_ms,
+        };
+        let session = self.session.as_deref().expect("a session");
+        self.post(&format!("/{session}/pull"), &pull)
+    }
+
+    /// Pulls once; each sample is checked. Returns the status, or none without an answer.
+    pub fn pull(&mut self, max: u32) -> Option<StatusCode> {
+        let (status, body) = self.pull_raw(max, 500)?;
+        if !status.is_success() {
+            return Some(status);
+        }
+        let pulled: Pulled = serde_json::from_slice(&body).expect("Pulled");
+        assert_eq!(pulled.seq, self.seq + 1);
+        self.seq = pulled.seq;
+        self.missing = pulled.missing;
+        for sample in pulled.samples {
+            self.take(sample);
+        }
+        Some(status)
+    }
+
+    fn take(&mut self, sample: Sample) {
+        assert_eq!(
+            sample.text,
+            true_text(&sample),
+            "false segments: {sample:?}"
+        );
+        let oldest = sample.segments.iter().map(|one| one.version).min();
+        let oldest = oldest.expect("segments");
+        assert!(
+            self.version.saturating_sub(oldest) <= self.staleness,
+            "version {oldest} for a trainer at {}",
+            self.version
+        );
+        let place = (sample.slot.group, sample.slot.index);
+        let known = self.held.insert(place, sample);
+        assert!(known.is_none(), "slot {place:?} came twice");
+    }
+
+    /// Pulls until the round is whole, opening sessions elsewhere after failures.
+    pub fn finish(&mut self, mut between: impl FnMut(&mut Self)) {
+        let until = Instant::now() + 3 * PATIENCE;
+        while self.missing > 0 {
+            assert!(
+                Instant::now() < until,
+                "{} samples are missing",
+                self.missing
+            );
+            let status = match self.session {
+                Some(_) => self.pull(16),
+                None => self.open(),
+            };
+            if !status.is_some_and(|status| status.is_success()) {
+                self.session = None;
+                self.control = (self.control + 1) % self.controls;
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            between(self);
+        }
+    }
+}
+
+/// The text that the engines make with the versions that the sample names.
+fn true_text(sample: &Sample) -> String {
+    let mut text = String::new();
+    let mut index = 0;
+    for segment in &sample.segments {
+        for _ in 0..segment.tokens {
+            text.push_str(&sample_token(&sample.id, segment.version, index));
+            index += 1;
+        }
+    }
+    text
+}
