--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod leases;
 mod operator;
+mod rounds;
 mod serve;
 
 use std::sync::Arc;
@@ -13,6 +14,8 @@
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 
+use rounds::Rounds;
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -22,6 +25,7 @@
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     metrics: Metrics,
+    client: Client,
 }
 
 impl Control {
@@ -40,6 +44,7 @@
             leases: Arc::new(leases),
             config: Arc::new(ConfigLog::new(log)),
             servers: HttpServers::new(&client, &settings.platform.servers),
+            client: client.clone(),
             metrics: Metrics::new().map_err(std::io::Error::other)?,
             settings,
         })
@@ -57,9 +62,16 @@
         tokio::spawn(async move { leases.run().await });
         let address = control.settings.control.http;
         let threads = control.settings.threads;
+        let rounds = Rounds::new(
+            &control.settings,
+            &control.client,
+            Arc::clone(&control.config),
+        );
+        let rounds = Arc::new(rounds);
+        tokio::spawn(Arc::clone(&rounds).follow());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
-            serve::answer(Arc::clone(&state), request)
+            serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
         })?;
         spdlog::info!("control started", kv: {
             address = address.to_string(),
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,5 +5,7 @@
 mod check;
 mod leak;
 mod path;
+mod rounds;
 mod stop;
+mod trainer;
 mod workdir;
