Link daemons and let digests travel, with freshness by head or majority

Each daemon keeps four links, a ring successor and three by rendezvous hashing across availability zones, and tells each peer in rounds of about half a second what it lacks. Ages are bounded by echoed stamps, so that a paused sender cannot make old news look new. Beats of a few bytes carry what changes all the time; whole digests go only on change.

Ruled out: sending whole digests each round, since 20 daemons would already send more than the target of 13 KB/s a node by the size of a digest. Freshness by majority counts only instances that have caught up since they started.

--- a/src/cmd/remote.rs
+++ b/src/cmd/remote.rs
@@ -99,7 +99,7 @@
     let (holding, listed) = (published.holding, published.listed);
     match &published.verdict {
         Verdict::Accepted { revision, .. } => {
-            println!("accepted: revision {revision}, in force on {holding} of {listed} daemons");
+            println!("accepted: revision {revision}, in force on {holding} of {listed} instances");
             true
         }
         Verdict::Conflict { base, revision } => {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -35,13 +35,23 @@
 
 fn show(status: &Status) {
     println!("revision {} ({})", status.revision, status.manifest);
+    println!("{} instances listed", status.listed);
     for daemon in &status.daemons {
         let fresh = if daemon.fresh { "fresh" } else { "not fresh" };
         let leaving = if daemon.leaving { " leaving" } else { "" };
         println!(
-            "{} {} {} revision {} {fresh}{leaving}",
-            daemon.instance, daemon.daemon, daemon.zone, daemon.revision
+            "{} {} {} {} revision {} ({:.12}) offset {} {fresh}{leaving}",
+            daemon.instance,
+            daemon.daemon,
+            daemon.zone,
+            daemon.url,
+            daemon.revision,
+            daemon.manifest,
+            daemon.config_next
         );
+        for lease in &daemon.leases {
+            println!("  holds lease {} since offset {}", lease.role, lease.claim);
+        }
     }
     for server in &status.servers {
         println!(
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,12 +5,14 @@
 
 use std::sync::Arc;
 
-use crate::edge::{HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
 
 /// All state of one control daemon.
 #[derive(Debug)]
@@ -18,6 +20,7 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     servers: HttpServers,
     metrics: Metrics,
 }
@@ -30,11 +33,24 @@
     pub fn new(settings: Settings) -> std::io::Result<Self> {
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
+        let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log));
+        let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let peers = Peers::new(
+            &settings,
+            Daemon::Control,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
-            incarnation: Incarnation::random(),
-            config: Arc::new(ConfigLog::new(log)),
+            incarnation,
+            config,
+            peers,
             servers: HttpServers::new(&client, &settings.platform.servers),
-            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            metrics,
             settings,
         })
     }
@@ -47,6 +63,7 @@
         let control = Arc::new(self);
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
+        control.peers.run().await?;
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let state = Arc::clone(&control);
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -8,7 +8,10 @@
 
 use crate::edge::Servers as _;
 use crate::http::{Refusal, RefusalKind, Response, json, read_body};
-use crate::wire::{BackendServer, ConfigRecord, Published, ServerStatus, Status};
+use crate::peer::{Holding, PeerDigest};
+use crate::wire::{
+    BackendServer, ConfigRecord, InstanceStatus, Published, ServerStatus, Status, Verdict,
+};
 
 use super::Control;
 
@@ -18,6 +21,10 @@
 const UPLOAD: Duration = Duration::from_secs(10);
 /// Time within which a record must be folded.
 const FOLD: Duration = Duration::from_secs(10);
+/// Time within which a majority must hold a record.
+const SPREAD: Duration = Duration::from_secs(10);
+/// Time between two looks at how many hold a record.
+const SPREAD_POLL: Duration = Duration::from_millis(20);
 
 /// Appends a record and answers with its verdict.
 pub(super) async fn records(
@@ -32,14 +39,38 @@
         let detail = "the log did not take the record in time; publish it again";
         return Err(Refusal::unknown(RefusalKind::Deadline, detail));
     };
+    let spread = match &verdict {
+        Verdict::Accepted { offset, .. } => wait_majority(control, *offset).await?,
+        _ => control.peers.holding(u64::MAX),
+    };
     let published = Published {
-        holding: 1,
-        listed: 1,
+        holding: spread.holding,
+        listed: spread.listed,
         verdict,
     };
     Ok(json(StatusCode::OK, &published))
 }
 
+/// Waits until a majority of the listed instances holds the record at `offset`.
+async fn wait_majority(control: &Control, offset: u64) -> Result<Holding, Refusal> {
+    let until = Instant::now() + SPREAD;
+    loop {
+        let spread = control.peers.holding(offset);
+        if spread.is_majority() {
+            return Ok(spread);
+        }
+        if Instant::now() >= until {
+            let detail = format!(
+                "recorded at offset {offset}, but only {} of {} listed instances hold it; \
+                 see `basillead status` and publish it again",
+                spread.holding, spread.listed
+            );
+            return Err(Refusal::unknown(RefusalKind::Deadline, detail));
+        }
+        tokio::time::sleep(SPREAD_POLL).await;
+    }
+}
+
 /// Answers with the state in force.
 pub(super) async fn status(control: &Arc<Control>) -> Result<Response, Refusal> {
     let state = control.config.state();
@@ -49,9 +80,9 @@
         Err(_) => Vec::new(),
     };
     let status = Status {
-        daemons: Vec::new(),
+        daemons: daemons(control),
         keys: snapshot.keys,
-        listed: 0,
+        listed: u32::try_from(control.peers.listed().len()).unwrap_or(u32::MAX),
         manifest: state.digest.to_string(),
         revision: state.revision,
         rounds: snapshot.rounds,
@@ -60,6 +91,35 @@
     Ok(json(StatusCode::OK, &status))
 }
 
+/// The latest run of each daemon, as peers know it.
+fn daemons(control: &Control) -> Vec<InstanceStatus> {
+    let mut digests = control.peers.digests();
+    digests.sort_unstable_by(|a, b| {
+        let name = |peer: &PeerDigest| (peer.digest.instance.clone(), peer.digest.daemon);
+        name(a).cmp(&name(b)).then(b.made.cmp(&a.made))
+    });
+    digests.dedup_by(|later, first| {
+        later.digest.instance == first.digest.instance && later.digest.daemon == first.digest.daemon
+    });
+    digests.into_iter().map(daemon_status).collect()
+}
+
+fn daemon_status(peer: PeerDigest) -> InstanceStatus {
+    let digest = peer.digest;
+    InstanceStatus {
+        config_next: digest.config_next,
+        daemon: digest.daemon,
+        fresh: digest.fresh,
+        instance: digest.instance,
+        leases: digest.leases,
+        leaving: digest.leaving,
+        manifest: digest.manifest,
+        revision: digest.revision,
+        url: digest.url,
+        zone: digest.zone,
+    }
+}
+
 fn server_status(server: BackendServer) -> ServerStatus {
     ServerStatus {
         id: server.id,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,12 +20,14 @@
 
 use std::sync::Arc;
 
-use crate::edge::{HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
 
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
@@ -38,6 +40,7 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     servers: ServerTable,
     usage: UsageCounters,
     client: Client,
@@ -55,9 +58,21 @@
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let servers = HttpServers::new(&client, &settings.platform.servers);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log));
+        let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let peers = Peers::new(
+            &settings,
+            Daemon::Entry,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
-            incarnation: Incarnation::random(),
-            config: Arc::new(ConfigLog::new(log)),
+            incarnation,
+            config,
+            peers,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
@@ -75,6 +90,7 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        entry.peers.run().await?;
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -16,9 +16,6 @@
 use super::plain::{self, PlainCall};
 use super::{address, auth, sample, stream};
 
-/// Age after which the configuration no longer counts as fresh.
-const FRESH_FOR: Duration = Duration::from_secs(3);
-
 /// The pages of the entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Page {
@@ -185,8 +182,7 @@
 
 /// Refuses keyed work while the configuration may be out of date.
 fn check_fresh(entry: &Entry) -> Result<(), Refusal> {
-    let seen = entry.config.freshness().seen();
-    if seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR) {
+    if entry.peers.is_fresh(Instant::now()) {
         return Ok(());
     }
     let detail = "this entry cannot show that its configuration is up to date";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`log`] | folds of the log's streams |
 //! | [`entry`] | the callers' side |
 //! | [`control`] | the operators' and the platform's side |
+//! | [`peer`] | membership, digests and links between daemons |
 //! | [`wire`] | typed messages at the borders |
 //! | [`http`] | HTTP client, server and refusals |
 
@@ -23,6 +24,7 @@
 pub mod log;
 pub mod manifest;
 pub mod names;
+pub mod peer;
 pub mod settings;
 #[cfg(feature = "standin")]
 pub mod standin;
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -22,6 +22,7 @@
 #[derive(Debug)]
 pub struct Freshness {
     seen: Mutex<Option<Instant>>,
+    read: Mutex<Option<Instant>>,
 }
 
 impl Freshness {
@@ -31,6 +32,12 @@
         *self.seen.lock()
     }
 
+    /// The instant at which the log last answered a read.
+    #[must_use]
+    pub fn read(&self) -> Option<Instant> {
+        *self.read.lock()
+    }
+
     /// Records that the folded state was the log's head at `instant`.
     pub fn confirm(&self, instant: Instant) {
         let mut seen = self.seen.lock();
@@ -61,6 +68,7 @@
             next: watch::Sender::new(0),
             freshness: Freshness {
                 seen: Mutex::new(None),
+                read: Mutex::new(None),
             },
         }
     }
@@ -140,6 +148,7 @@
         let from = self.state.load().next;
         let asked = Instant::now();
         let page = self.log.read(Stream::Config, from, POLL_WAIT).await?;
+        *self.freshness.read.lock() = Some(Instant::now());
         self.fold_page(&page);
         if self.state.load().next >= page.next {
             self.freshness.confirm(asked);
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,427 @@
+//! Membership: what daemons tell each other, over links to a few peers each.
+//!
+//! A daemon's digest travels from link to link. [`table`] keeps the digests, [`clock`]
+//! bounds their age, [`fresh`] decides what they prove, and [`pick`] chooses the links.
+
+mod calls;
+pub mod clock;
+mod dial;
+pub mod fresh;
+mod link;
+mod members;
+mod metrics;
+pub mod pick;
+mod socket;
+pub mod table;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use opentelemetry::metrics::Meter;
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+
+pub use calls::CallError;
+pub use link::{Link, PeerId};
+pub use members::Holding;
+pub use metrics::PeerMetrics;
+pub use table::PeerDigest;
+
+use crate::edge::Instances;
+use crate::log::ConfigLog;
+use crate::names::{Incarnation, Secret, Zone};
+use crate::settings::{Listen, Settings};
+use crate::util::millis;
+use crate::wire::{
+    Crash, Daemon, Digest, Instance, LeaseHeld, OnceAnswer, PeerMessage, ServerLoad, TenantDemand,
+};
+
+use calls::Calls;
+use table::DigestTable;
+
+/// Time after which this daemon's beat is counted up.
+const BEAT: Duration = Duration::from_millis(900);
+/// Time between two changes of a digest's content, unless the change is urgent.
+const CONTENT: Duration = Duration::from_millis(450);
+
+/// A crash of a backend server, as this daemon saw it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OwnCrash {
+    /// Fingerprint of a request that ran on it.
+    pub fingerprint: String,
+    /// The backend server.
+    pub server: String,
+    /// When it crashed.
+    pub at: Instant,
+}
+
+/// What a daemon tells about itself, besides its configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Own {
+    /// Its work on backend servers.
+    pub loads: Vec<ServerLoad>,
+    /// Demand of tenants, as it sees it.
+    pub demand: Vec<TenantDemand>,
+    /// Crashes that it saw.
+    pub crashes: Vec<OwnCrash>,
+    /// Leases that it holds.
+    pub leases: Vec<LeaseHeld>,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// The counters behind this daemon's own digest.
+#[derive(Debug, Default)]
+struct Counted {
+    own: Own,
+    told: Own,
+    seq: u64,
+    content: u64,
+    revision: u64,
+    beat_at: Option<Instant>,
+    content_at: Option<Instant>,
+}
+
+type Handler = Arc<dyn Fn(&Arc<Link>, &PeerMessage) + Send + Sync>;
+
+/// One daemon's side of the peers' link.
+pub struct Peers {
+    me: PeerId,
+    zone: Zone,
+    region: String,
+    listen: Listen,
+    secret: Secret,
+    config: Arc<ConfigLog>,
+    instances: Arc<dyn Instances>,
+    listed: ArcSwap<Vec<Instance>>,
+    table: Mutex<DigestTable>,
+    counted: Mutex<Counted>,
+    links: Mutex<BTreeMap<u64, Arc<Link>>>,
+    handlers: RwLock<Vec<Handler>>,
+    calls: Calls,
+    settled: AtomicBool,
+    asked: Mutex<Option<Instant>>,
+    ahead: Mutex<Option<Ahead>>,
+    majority: Mutex<Option<Instant>>,
+    ids: AtomicU64,
+    wake: watch::Sender<u64>,
+    metrics: PeerMetrics,
+}
+
+/// A head of the log that peers know and this daemon has not folded yet.
+#[derive(Clone, Copy, Debug)]
+struct Ahead {
+    next: u64,
+    at: Instant,
+}
+
+impl std::fmt::Debug for Peers {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Peers")
+            .field("me", &self.me)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Peers {
+    /// The peers' link of one daemon; [`Self::run`] starts it.
+    #[must_use]
+    pub fn new(
+        settings: &Settings,
+        daemon: Daemon,
+        incarnation: &Incarnation,
+        config: Arc<ConfigLog>,
+        instances: Arc<dyn Instances>,
+        meter: &Meter,
+    ) -> Arc<Self> {
+        let listen = match daemon {
+            Daemon::Entry => settings.entry.clone(),
+            Daemon::Control => settings.control.clone(),
+        };
+        Arc::new(Self {
+            me: PeerId {
+                instance: settings.instance.clone(),
+                daemon,
+                incarnation: incarnation.clone(),
+            },
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            listen,
+            secret: settings.peer_secret.clone(),
+            config,
+            instances,
+            listed: ArcSwap::default(),
+            table: Mutex::default(),
+            counted: Mutex::default(),
+            links: Mutex::default(),
+            handlers: RwLock::default(),
+            calls: Calls::default(),
+            settled: AtomicBool::new(false),
+            asked: Mutex::new(None),
+            ahead: Mutex::new(None),
+            majority: Mutex::new(None),
+            ids: AtomicU64::new(0),
+            wake: watch::Sender::new(0),
+            metrics: PeerMetrics::new(meter),
+        })
+    }
+
+    /// Listens, follows the instance list and keeps links, until the process ends.
+    ///
+    /// # Errors
+    /// The address of the peers' link cannot be bound.
+    pub async fn run(self: &Arc<Self>) -> std::io::Result<()> {
+        let listener = tokio::net::TcpListener::bind(self.listen.peer).await?;
+        tokio::spawn(dial::accept(Arc::clone(self), listener));
+        tokio::spawn(members::follow(Arc::clone(self)));
+        tokio::spawn(members::review(Arc::clone(self)));
+        tokio::spawn(dial::keep(Arc::clone(self)));
+        tokio::spawn(watch_config(Arc::clone(self)));
+        Ok(())
+    }
+
+    /// This daemon.
+    #[must_use]
+    pub fn me(&self) -> &PeerId {
+        &self.me
+    }
+
+    /// Changes what this daemon tells about itself.
+    pub fn update(&self, change: impl FnOnce(&mut Own)) {
+        let mut counted = self.counted.lock();
+        let leaving = counted.own.leaving;
+        change(&mut counted.own);
+        let urgent = counted.own.leaving != leaving;
+        if urgent {
+            counted.content_at = None;
+        }
+        drop(counted);
+        if urgent {
+            self.wake.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// The digests of all daemons that are not gone, this one's included.
+    #[must_use]
+    pub fn digests(&self) -> Vec<PeerDigest> {
+        self.table.lock().alive(Instant::now()).cloned().collect()
+    }
+
+    /// The digest of one incarnation, unless it is gone.
+    #[must_use]
+    pub fn digest(&self, incarnation: &str) -> Option<PeerDigest> {
+        let now = Instant::now();
+        let table = self.table.lock();
+        let found = table
+            .alive(now)
+            .find(|d| d.digest.incarnation == incarnation);
+        found.cloned()
+    }
+
+    /// The instances of this region, as last listed.
+    #[must_use]
+    pub fn listed(&self) -> Arc<Vec<Instance>> {
+        self.listed.load_full()
+    }
+
+    /// Calls `handler` for every message that came on a link, on the link's own task.
+    pub fn on_message(&self, handler: impl Fn(&Arc<Link>, &PeerMessage) + Send + Sync + 'static) {
+        self.handlers.write().push(Arc::new(handler));
+    }
+
+    /// Open links, one for each peer.
+    #[must_use]
+    pub fn links(&self) -> Vec<Arc<Link>> {
+        let links = self.links.lock();
+        let mut found: BTreeMap<&PeerId, &Arc<Link>> = BTreeMap::new();
+        for link in links.values() {
+            found.insert(&link.peer, link);
+        }
+        found.into_values().cloned().collect()
+    }
+
+    /// Sends a message to an incarnation, on a new link if none is open.
+    ///
+    /// # Errors
+    /// No link could be made, or its queue is full; nothing was sent.
+    pub async fn send(
+        self: &Arc<Self>,
+        to: &Incarnation,
+        message: PeerMessage,
+    ) -> Result<(), CallError> {
+        let link = self.link_to(to).await?;
+        if link.send(message) {
+            Ok(())
+        } else {
+            Err(CallError::Unsent)
+        }
+    }
+
+    /// Sends what `message` makes of the call's number, and waits for the answer.
+    ///
+    /// # Errors
+    /// [`CallError`] says whether the call may have been sent.
+    pub async fn call(
+        self: &Arc<Self>,
+        to: &Incarnation,
+        message: impl FnOnce(u64) -> PeerMessage + Send,
+    ) -> Result<OnceAnswer, CallError> {
+        let link = self.link_to(to).await?;
+        self.calls.call(&link, message).await
+    }
+
+    async fn link_to(self: &Arc<Self>, to: &Incarnation) -> Result<Arc<Link>, CallError> {
+        if let Some(link) = self.open_link(to) {
+            return Ok(link);
+        }
+        dial::link_to(self, to).await.ok_or(CallError::Unsent)
+    }
+
+    fn open_link(&self, to: &Incarnation) -> Option<Arc<Link>> {
+        let links = self.links.lock();
+        let found = links.values().find(|link| link.peer.incarnation == *to);
+        found.cloned()
+    }
+
+    fn next_id(&self) -> u64 {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The digests message of one round on one link.
+    fn round(&self, link: &Link, now: Instant) -> PeerMessage {
+        self.count_own(now);
+        let mut rounds = link.rounds.lock();
+        let (echo, held_ms) = rounds.clock.echo(now);
+        let stamp = rounds.clock.stamp(now);
+        let (digests, beats) = self.table.lock().lacking(&mut rounds.view, now);
+        drop(rounds);
+        let state = self.config.state();
+        let seen = self.config.freshness().seen();
+        PeerMessage::Digests {
+            beats,
+            digests,
+            echo,
+            head_age_ms: seen.map(|seen| millis(now.saturating_duration_since(seen))),
+            held_ms,
+            next: state.next,
+            stamp,
+        }
+    }
+
+    /// Counts this daemon's own digest up, if it changed or its beat is due.
+    fn count_own(&self, now: Instant) {
+        let fresh = self.is_fresh(now);
+        let state = self.config.state();
+        let next = self.settled_next();
+        let mut table = self.table.lock();
+        let mut counted = self.counted.lock();
+        let counted = &mut *counted;
+        let known = table.get(self.me.incarnation.as_str());
+        let beats = known.is_none_or(|k| k.digest.config_next != next || k.digest.fresh != fresh);
+        let due = |at: Option<Instant>, pause| at.is_none_or(|at| now >= at + pause);
+        let differs = counted.own != counted.told || counted.revision != state.revision;
+        let changed = counted.content == 0 || differs && due(counted.content_at, CONTENT);
+        if !(changed || beats || due(counted.beat_at, BEAT)) {
+            return;
+        }
+        counted.seq += 1;
+        counted.beat_at = Some(now);
+        if changed {
+            counted.content = counted.seq;
+            counted.content_at = Some(now);
+            counted.told = counted.own.clone();
+            counted.revision = state.revision;
+        }
+        let crash = |crash: &OwnCrash| Crash {
+            age_ms: millis(now.saturating_duration_since(crash.at)),
+            fingerprint: crash.fingerprint.clone(),
+            server: crash.server.clone(),
+        };
+        let told = &counted.told;
+        let digest = Digest {
+            age_ms: 0,
+            config_next: next,
+            content: counted.content,
+            crashes: told.crashes.iter().map(crash).collect(),
+            daemon: self.me.daemon,
+            demand: told.demand.clone(),
+            fresh,
+            incarnation: self.me.incarnation.to_string(),
+            instance: self.me.instance.to_string(),
+            leases: told.leases.clone(),
+            leaving: told.leaving,
+            loads: told.loads.clone(),
+            manifest: state.digest.to_string(),
+            peer: self.listen.peer.to_string(),
+            revision: counted.revision,
+            seq: counted.seq,
+            url: format!("http://{}", self.listen.http),
+            zone: self.zone.to_string(),
+        };
+        table.set_own(digest, now);
+        table.expire(now);
+    }
+
+    /// Takes a message that came on a link.
+    fn received(self: &Arc<Self>, link: &Arc<Link>, message: PeerMessage) {
+        match message {
+            PeerMessage::Digests { .. } => self.take_digests(link, message),
+            PeerMessage::StateAsk => self.tell_state(link),
+            PeerMessage::State { state, upto } => self.take_state(link, upto, state),
+            PeerMessage::OnceAnswer { answer, call } => self.calls.answered(link, call, answer),
+            PeerMessage::Hello { .. }
+            | PeerMessage::OnceAsk { .. }
+            | PeerMessage::UsageCopy { .. } => {
+                for handler in self.handlers.read().iter() {
+                    handler(link, &message);
+                }
+            }
+        }
+    }
+
+    fn take_digests(&self, link: &Link, message: PeerMessage) {
+        let PeerMessage::Digests {
+            beats,
+            digests,
+            echo,
+            head_age_ms,
+            held_ms,
+            next,
+            stamp,
+        } = message
+        else {
+            return;
+        };
+        let now = Instant::now();
+        let mut rounds = link.rounds.lock();
+        let at = rounds.clock.came(stamp, echo, held_ms, now);
+        let mut table = self.table.lock();
+        for digest in digests {
+            rounds.view.note_digest(&digest);
+            if digest.incarnation != self.me.incarnation.as_str() {
+                table.take_digest(digest, at, now);
+            }
+        }
+        let own = table::beat_id(self.me.incarnation.as_str());
+        for beat in &beats {
+            rounds.view.note_beat(beat);
+            if beat.id != own {
+                table.take_beat(beat, at, now);
+            }
+        }
+        drop(table);
+        drop(rounds);
+        self.told_head(link, next, head_age_ms, at);
+    }
+}
+
+/// Tells peers at once when the configuration changed.
+async fn watch_config(peers: Arc<Peers>) {
+    let mut next = peers.config.watch();
+    while next.changed().await.is_ok() {
+        peers.config_changed();
+    }
+}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -30,6 +30,16 @@
     pub state: ServerState,
     pub zone: ::std::string::String,
 }
+#[doc = "The part of a digest that changes all the time."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct Beat {
+    pub age: u64,
+    pub fresh: bool,
+    #[doc = "Hash of the incarnation."]
+    pub id: u64,
+    pub next: u64,
+    pub seq: u64,
+}
 #[doc = "What a configuration record says."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
@@ -136,13 +146,17 @@
 #[doc = "What one daemon tells its peers about itself; passed on by peers. A higher `seq` replaces a lower one."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Digest {
+    #[doc = "Time since `seq` was counted up, added up along the way."]
+    pub age_ms: u64,
     #[doc = "Offset of the configuration stream up to which the sender has folded."]
     pub config_next: u64,
+    #[doc = "The `seq` of the last change of what no beat carries."]
+    pub content: u64,
     pub crashes: ::std::vec::Vec<Crash>,
     pub daemon: Daemon,
     pub demand: ::std::vec::Vec<TenantDemand>,
-    #[doc = "Age of the sender's knowledge of the log's head when the digest was made or passed on."]
-    pub fresh_age_ms: u64,
+    #[doc = "Whether the sender could show that its configuration is up to date."]
+    pub fresh: bool,
     pub incarnation: ::std::string::String,
     pub instance: ::std::string::String,
     pub leases: ::std::vec::Vec<LeaseHeld>,
@@ -150,6 +164,8 @@
     pub loads: ::std::vec::Vec<ServerLoad>,
     #[doc = "SHA-256 of the manifest in force, in hex."]
     pub manifest: ::std::string::String,
+    #[doc = "Address of the sender's peers' link."]
+    pub peer: ::std::string::String,
     pub revision: u64,
     pub seq: u64,
     pub url: ::std::string::String,
@@ -486,9 +502,24 @@
         incarnation: ::std::string::String,
         instance: ::std::string::String,
     },
-    #[doc = "digests\n\nDigests that the sender knows."]
+    #[doc = "digests\n\nDigests and beats that the receiver lacks, and what the sender knows of the log's head."]
     #[serde(rename = "digests")]
-    Digests { digests: ::std::vec::Vec<Digest> },
+    Digests {
+        beats: ::std::vec::Vec<Beat>,
+        digests: ::std::vec::Vec<Digest>,
+        #[doc = "The last stamp that came from the receiver."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        echo: ::std::option::Option<u64>,
+        #[doc = "Time since `next` was the log's head or past it."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        head_age_ms: ::std::option::Option<u64>,
+        #[doc = "Time since that stamp came."]
+        held_ms: u64,
+        #[doc = "Offset up to which the sender has folded."]
+        next: u64,
+        #[doc = "The sender's clock in milliseconds."]
+        stamp: u64,
+    },
     #[doc = "once_ask\n\nAsks the incarnation that owns an idempotency key for its answer."]
     #[serde(rename = "once_ask")]
     OnceAsk {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,12 +7,12 @@
 mod generated;
 
 pub use generated::{
-    Address, Addresses, Appended, BackendServer, ConfigBody, ConfigRecord, ConfigSnapshot, Crash,
-    Daemon, Digest, EngineChunk, EngineLoad, EngineOrder, EngineRequest, Finding, Header, Instance,
-    InstanceState, InstanceStatus, KeyEntry, LeaseBody, LeaseHeld, LeaseRecord, LogEntry, LogPage,
-    OnceAnswer, OnceRequest, Order, OrderAction, OrderBody, OrderOutcome, OrderRecord, OrderResult,
-    PeerMessage, Price, Problem, Published, Pull, Pulled, Role, RoundEntry, RoundSpec, Run, Sample,
-    SampleAnswer, SampleRequest, Segment, ServerList, ServerLoad, ServerState, ServerStatus,
-    SessionOpen, SessionOpened, Slot, Status, TenantDemand, UsageBody, UsageCount, UsageLine,
-    UsageRecord, UsageReport, UsageUnit, Verdict,
+    Address, Addresses, Appended, BackendServer, Beat, ConfigBody, ConfigRecord, ConfigSnapshot,
+    Crash, Daemon, Digest, EngineChunk, EngineLoad, EngineOrder, EngineRequest, Finding, Header,
+    Instance, InstanceState, InstanceStatus, KeyEntry, LeaseBody, LeaseHeld, LeaseRecord, LogEntry,
+    LogPage, OnceAnswer, OnceRequest, Order, OrderAction, OrderBody, OrderOutcome, OrderRecord,
+    OrderResult, PeerMessage, Price, Problem, Published, Pull, Pulled, Role, RoundEntry, RoundSpec,
+    Run, Sample, SampleAnswer, SampleRequest, Segment, ServerList, ServerLoad, ServerState,
+    ServerStatus, SessionOpen, SessionOpened, Slot, Status, TenantDemand, UsageBody, UsageCount,
+    UsageLine, UsageRecord, UsageReport, UsageUnit, Verdict,
 };
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,5 +3,6 @@
 
 mod leak;
 mod path;
+mod peers;
 mod stop;
 mod workdir;
