--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control daemon: the operators' and the platform's side.
 
+pub mod leases;
 mod operator;
 mod serve;
 
@@ -22,6 +23,7 @@
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
     servers: HttpServers,
+    leases: Arc<leases::Leases>,
     metrics: Metrics,
 }
 
@@ -34,8 +36,9 @@
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let incarnation = Incarnation::random();
-        let config = Arc::new(ConfigLog::new(log));
+        let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let leases = leases::Leases::new(log, instances.clone(), &settings.instance, &incarnation);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let peers = Peers::new(
             &settings,
@@ -49,6 +52,7 @@
             incarnation,
             config,
             peers,
+            leases: Arc::new(leases),
             servers: HttpServers::new(&client, &settings.platform.servers),
             metrics,
             settings,
@@ -64,6 +68,8 @@
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
         control.peers.run().await?;
+        let leases = Arc::clone(&control.leases);
+        tokio::spawn(async move { leases.run().await });
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let state = Arc::clone(&control);
@@ -75,6 +81,7 @@
             incarnation = control.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
+        control.leases.release().await;
         drop(server);
         Ok(())
     }
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -29,7 +29,7 @@
 /// Appends a record and answers with its verdict.
 pub(super) async fn records(
     control: &Arc<Control>,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let body = read_body(body, RECORD_MAX, Instant::now() + UPLOAD).await?;
     let record: ConfigRecord = serde_json::from_slice(&body)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod generate;
 mod leak;
 mod metrics;
+mod path;
 mod plain;
 mod sample;
 mod serve;
@@ -19,6 +20,7 @@
 mod usage;
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
@@ -32,7 +34,10 @@
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
-pub use usage::UsageCounters;
+pub use usage::{UsageBatch, UsageCopies, UsageCounters};
+
+/// Time in which the last counters must reach the log at shutdown.
+const FLUSH: Duration = Duration::from_secs(5);
 
 /// All state of one entry daemon.
 #[derive(Debug)]
@@ -42,7 +47,10 @@
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
     servers: ServerTable,
+    log: Arc<HttpLog>,
     usage: UsageCounters,
+    appends: tokio::sync::Mutex<usage::AppendState>,
+    usage_metrics: usage::UsageMetrics,
     client: Client,
     metrics: Metrics,
     counts: metrics::EntryMetrics,
@@ -59,7 +67,7 @@
         let servers = HttpServers::new(&client, &settings.platform.servers);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let incarnation = Incarnation::random();
-        let config = Arc::new(ConfigLog::new(log));
+        let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
         let peers = Peers::new(
             &settings,
@@ -73,8 +81,11 @@
             incarnation,
             config,
             peers,
+            log,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
+            appends: tokio::sync::Mutex::default(),
+            usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
             client,
@@ -91,6 +102,7 @@
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
         entry.peers.run().await?;
+        tokio::spawn(usage::follow(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
@@ -103,6 +115,7 @@
         });
         crate::util::stop_signal().await?;
         drop(server);
+        usage::flush(&entry, Instant::now() + FLUSH).await;
         Ok(())
     }
 }
