--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,13 +4,18 @@
 //! [`generate`] (model engines) or [`plain`] (plain services).
 
 mod address;
+mod admit;
 mod api;
 mod auth;
 mod choose;
 mod engine;
+mod enter;
+mod fair;
 mod generate;
 mod leak;
+mod limit;
 mod metrics;
+mod others;
 mod path;
 mod plain;
 mod sample;
@@ -22,6 +27,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use arc_swap::ArcSwap;
+
 use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
@@ -51,6 +58,9 @@
     usage: UsageCounters,
     appends: tokio::sync::Mutex<usage::AppendState>,
     usage_metrics: usage::UsageMetrics,
+    admission: admit::Admission,
+    limits: limit::Limits,
+    others: ArcSwap<others::Others>,
     client: Client,
     metrics: Metrics,
     counts: metrics::EntryMetrics,
@@ -86,6 +96,9 @@
             usage: UsageCounters::default(),
             appends: tokio::sync::Mutex::default(),
             usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
+            admission: admit::Admission::default(),
+            limits: limit::Limits::default(),
+            others: ArcSwap::default(),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
             client,
@@ -103,6 +116,7 @@
         tokio::spawn(follow_servers(Arc::clone(&entry)));
         entry.peers.run().await?;
         tokio::spawn(usage::follow(Arc::clone(&entry)));
+        tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -9,6 +9,8 @@
 use crate::wire::{SampleAnswer, SampleRequest};
 
 use super::Entry;
+use super::enter::{self, Arrival};
+use super::fair::Class;
 use super::generate::{Generation, Job};
 use super::usage::Tally;
 
@@ -34,21 +36,36 @@
         resume: request.resume,
         avoid: request.avoid.into_iter().map(Into::into).collect(),
     };
-    let most = job
-        .max_tokens
-        .saturating_sub(u32::try_from(held).unwrap_or(u32::MAX));
-    let mut tally = Tally::new(entry, &job.tenant, most);
+    let tenant = job.tenant.clone();
+    let left = (job.max_tokens as usize).saturating_sub(held);
+    let (cost, deadline) = (enter::cost(job.prompt.len(), left), job.deadline);
+    let mut tally = Tally::new(entry, &tenant, u32::try_from(left).unwrap_or(u32::MAX));
     let mut generation = Generation::new(Arc::clone(entry), job)?;
+    let arrival = Arrival {
+        pool: generation.pool(),
+        tenant: Some(&tenant),
+        class: Class::Rollout,
+        cost,
+        limited: true,
+        deadline,
+    };
+    let mut entered = enter::enter(entry, arrival).await?;
     let done = loop {
-        match generation.next().await {
-            Ok(chunk) => {
+        let next = tokio::select! {
+            next = generation.next() => Some(next),
+            // Live work needs the place; what is made so far goes back and is resumed later.
+            () = entered.room_wanted(), if generation.tokens().len() > held => None,
+        };
+        match next {
+            Some(Ok(chunk)) => {
                 tally.count(generation.prompt_tokens(), chunk.tokens.len());
+                entered.settle(enter::cost(0, generation.tokens().len() - held));
                 if chunk.done {
                     break true;
                 }
             }
-            Err(refusal) if generation.tokens().len() == held => return Err(refusal),
-            Err(_) => break false,
+            Some(Err(refusal)) if generation.tokens().len() == held => return Err(refusal),
+            Some(Err(_)) | None => break false,
         }
     };
     for segment in generation.segments() {
