--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,8 +11,10 @@
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
 
 use rounds::Rounds;
 
@@ -22,6 +24,7 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     metrics: Metrics,
@@ -37,15 +40,26 @@
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
-        let leases = leases::Leases::new(log.clone(), instances, &settings.instance, &incarnation);
+        let leases = leases::Leases::new(log, instances.clone(), &settings.instance, &incarnation);
+        let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let peers = Peers::new(
+            &settings,
+            Daemon::Control,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
             incarnation,
+            config,
+            peers,
             leases: Arc::new(leases),
-            config: Arc::new(ConfigLog::new(log)),
             servers: HttpServers::new(&client, &settings.platform.servers),
-            client: client.clone(),
-            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            client,
+            metrics,
             settings,
         })
     }
@@ -58,6 +72,7 @@
         let control = Arc::new(self);
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
+        control.peers.run().await?;
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
         let address = control.settings.control.http;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,12 +29,14 @@
 
 use arc_swap::ArcSwap;
 
-use crate::edge::{HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
 
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
@@ -50,6 +52,7 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     servers: ServerTable,
     log: Arc<HttpLog>,
     usage: UsageCounters,
@@ -73,9 +76,21 @@
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let servers = HttpServers::new(&client, &settings.platform.servers);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log.clone()));
+        let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let peers = Peers::new(
+            &settings,
+            Daemon::Entry,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
-            incarnation: Incarnation::random(),
-            config: Arc::new(ConfigLog::new(log.clone())),
+            incarnation,
+            config,
+            peers,
             log,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
@@ -99,6 +114,7 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        entry.peers.run().await?;
         tokio::spawn(usage::follow(Arc::clone(&entry)));
         tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -17,6 +17,7 @@
 #[derive(Debug)]
 pub struct Freshness {
     seen: Mutex<Option<Instant>>,
+    read: Mutex<Option<Instant>>,
 }
 
 impl Freshness {
@@ -26,6 +27,12 @@
         *self.seen.lock()
     }
 
+    /// The instant at which the log last answered a read.
+    #[must_use]
+    pub fn read(&self) -> Option<Instant> {
+        *self.read.lock()
+    }
+
     /// Records that the folded state was the log's head at `instant`.
     pub fn confirm(&self, instant: Instant) {
         let mut seen = self.seen.lock();
@@ -56,6 +63,7 @@
             next: watch::Sender::new(0),
             freshness: Freshness {
                 seen: Mutex::new(None),
+                read: Mutex::new(None),
             },
         }
     }
@@ -133,6 +141,7 @@
         let from = self.state.load().next;
         let asked = Instant::now();
         let page = self.log.read(Stream::Config, from, POLL_WAIT).await?;
+        *self.freshness.read.lock() = Some(Instant::now());
         self.fold_page(&page);
         if self.state.load().next >= page.next {
             self.freshness.confirm(asked);
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod leak;
 mod path;
+mod peers;
 mod rounds;
 mod stop;
 mod trainer;
