--- a/src/entry/usage/append.rs
+++ b/src/entry/usage/append.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{Counter, Meter};
 
 use crate::edge::{Log, Stream};
+use crate::log::Backoff;
 use crate::util::{jittered, unix_ms};
 use crate::wire::UsageOpen;
 
@@ -14,10 +15,6 @@
 
 /// Longest pause between two appends while counters change.
 const APPEND_PAUSE: Duration = Duration::from_millis(1_250);
-/// First pause after a failed append; it doubles with each failure.
-const BACKOFF_FIRST: Duration = Duration::from_millis(100);
-/// Longest pause after failed appends.
-const BACKOFF_MAX: Duration = Duration::from_secs(2);
 
 /// Instruments of the appends.
 #[derive(Debug)]
@@ -55,26 +52,26 @@
 
 /// Appends the counters that changed, about once a second, for ever.
 pub(in crate::entry) async fn follow(entry: Arc<Entry>) {
-    let mut backoff = BACKOFF_FIRST;
+    let mut backoff = Backoff::default();
     loop {
         if append(&entry).await {
-            backoff = BACKOFF_FIRST;
+            backoff.reset();
             tokio::time::sleep(jittered(APPEND_PAUSE)).await;
         } else {
-            tokio::time::sleep(jittered(backoff)).await;
-            backoff = (backoff * 2).min(BACKOFF_MAX);
+            backoff.pause().await;
         }
     }
 }
 
 /// Appends what is left until the log holds it, or until `deadline`.
 pub(in crate::entry) async fn flush(entry: &Entry, deadline: Instant) {
+    let mut backoff = Backoff::default();
     while !append(entry).await {
         if Instant::now() >= deadline {
             spdlog::error!("usage counters were not appended at shutdown");
             return;
         }
-        tokio::time::sleep(BACKOFF_FIRST).await;
+        backoff.pause().await;
     }
 }
 
