Close, report and replay usage windows under the usage lease

The holder closes windows that are due by a record that it reads back, and sends the reports of closed windows in order through the fenced connection; a second record says that the usage interface confirmed. A successor sends again what is not confirmed, with the same bytes, as a report depends on the log alone. After an outage of the log closing waits as long as the grace time, so that the entries' counters come first. `basillead usage` shows the windows, and `basillead replay` recomputes every report from the log.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,8 +7,10 @@
 mod key;
 mod publish;
 mod remote;
+mod replay;
 mod schema;
 mod status;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -43,6 +45,10 @@
     Schema(schema::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
     Status(status::Args),
+    #[options(help = "show usage windows")]
+    Usage(usage::Args),
+    #[options(help = "recompute usage reports from the log alone")]
+    Replay(replay::Args),
 }
 
 /// Parses the command line and runs the subcommand that it names.
@@ -60,6 +66,8 @@
         Command::Key(args) => key::run(&args),
         Command::Schema(args) => schema::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Usage(args) => usage::run(&args),
+        Command::Replay(args) => replay::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
 }
--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -96,6 +96,14 @@
         ROLES.into_iter().filter_map(held).collect()
     }
 
+    /// Whether this process holds a role or may come to hold it.
+    #[must_use]
+    pub fn is_candidate(&self, role: Role) -> bool {
+        let state = self.state.lock();
+        let holds = state.roles.held(role, Instant::now()).is_some();
+        holds || self.may_claim(role, &state.list)
+    }
+
     /// Whether the lease stream was read to its head and holds no gap.
     #[must_use]
     pub fn is_known(&self) -> bool {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,10 +3,11 @@
 pub mod leases;
 mod operator;
 mod serve;
+pub mod usage;
 
 use std::sync::Arc;
 
-use crate::edge::{HttpInstances, HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
@@ -21,6 +22,7 @@
     config: Arc<ConfigLog>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
+    usage: Arc<usage::UsageWindows>,
     metrics: Metrics,
 }
 
@@ -35,12 +37,24 @@
         let incarnation = Incarnation::random();
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
         let leases = leases::Leases::new(log.clone(), instances, &settings.instance, &incarnation);
+        let leases = Arc::new(leases);
+        let config = Arc::new(ConfigLog::new(log.clone()));
+        let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
+        let usage = usage::UsageWindows::new(
+            log,
+            sink,
+            Arc::clone(&leases),
+            Arc::clone(&config),
+            &metrics.meter(),
+        );
         Ok(Self {
             incarnation,
-            leases: Arc::new(leases),
-            config: Arc::new(ConfigLog::new(log)),
+            leases,
+            config,
+            usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
-            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            metrics,
             settings,
         })
     }
@@ -55,6 +69,7 @@
         tokio::spawn(async move { config.follow().await });
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(Arc::clone(&control.usage).run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let state = Arc::clone(&control);
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -60,6 +60,15 @@
     Ok(json(StatusCode::OK, &status))
 }
 
+/// Answers with the usage windows, as of the log's head.
+pub(super) async fn usage(control: &Arc<Control>) -> Result<Response, Refusal> {
+    if !control.usage.catch_up(Instant::now() + FOLD).await {
+        let detail = "the usage stream could not be read to its end";
+        return Err(Refusal::not_run(RefusalKind::NotFresh, detail));
+    }
+    Ok(json(StatusCode::OK, &control.usage.status()))
+}
+
 fn server_status(server: BackendServer) -> ServerStatus {
     ServerStatus {
         id: server.id,
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -41,6 +41,10 @@
             check_operator(control, head)?;
             operator::status(control).await
         }
+        (&Method::GET, "/operator/usage") => {
+            check_operator(control, head)?;
+            operator::usage(control).await
+        }
         (method, path) => {
             let detail = format!("no page for {method} {path}");
             Err(Refusal::not_run(RefusalKind::NotFound, detail))
--- a/src/entry/usage/append.rs
+++ b/src/entry/usage/append.rs
@@ -11,11 +11,14 @@
 use crate::wire::UsageOpen;
 
 use super::super::Entry;
-use super::window_start;
+use super::{UsageBatch, window_start};
 
 /// Longest pause between two appends while counters change.
 const APPEND_PAUSE: Duration = Duration::from_millis(1_250);
 
+/// Longest time without a record while requests run.
+const KEEPALIVE: Duration = Duration::from_secs(10);
+
 /// Instruments of the appends.
 #[derive(Debug)]
 pub(in crate::entry) struct UsageMetrics {
@@ -48,6 +51,17 @@
 pub(in crate::entry) struct AppendState {
     seq: u64,
     open: Vec<UsageOpen>,
+    last: Option<Instant>,
+}
+
+impl AppendState {
+    /// Whether a batch says nothing that the log does not say already.
+    ///
+    /// While requests run, records tell that the entry lives.
+    fn is_idle(&self, batch: &UsageBatch) -> bool {
+        let recent = self.last.is_some_and(|last| last.elapsed() < KEEPALIVE);
+        batch.counts.is_empty() && batch.open == self.open && (batch.open.is_empty() || recent)
+    }
 }
 
 /// Appends the counters that changed, about once a second, for ever.
@@ -82,7 +96,7 @@
     let length = entry.config.state().manifest.window;
     let mut state = entry.appends.lock().await;
     let batch = entry.usage.batch(window_start(unix_ms(), length));
-    if batch.counts.is_empty() && batch.open == state.open {
+    if state.is_idle(&batch) {
         return true;
     }
     state.seq += 1;
@@ -101,5 +115,6 @@
     metrics.bytes.add(bytes, &[]);
     entry.usage.confirm(&batch);
     state.open = batch.open;
+    state.last = Some(Instant::now());
     true
 }
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -12,4 +12,4 @@
 pub use lease::{Lease, LeaseChange, LeaseFold};
 pub use snapshot::SnapshotClock;
 pub use tail::{ConfigLog, Freshness};
-pub use usage::{CLOSINGS_KEPT, UsageFold};
+pub use usage::{CLOSINGS_KEPT, UsageFold, UsageReader};
--- a/src/log/usage/mod.rs
+++ b/src/log/usage/mod.rs
@@ -5,6 +5,7 @@
 //! record that says so; what comes later goes to the window closed next, marked late.
 
 mod figures;
+mod reader;
 #[cfg(test)]
 mod tests;
 
@@ -17,6 +18,7 @@
 };
 
 use figures::Figures;
+pub use reader::UsageReader;
 
 /// Closed windows within which a count of a silent incarnation is still charged.
 pub const CLOSINGS_KEPT: usize = 1_000;
@@ -33,6 +35,8 @@
     open: Vec<UsageOpen>,
     /// The latest window counted in.
     last: u64,
+    /// Offset of its last record.
+    touched: u64,
 }
 
 impl Known {
@@ -123,6 +127,7 @@
             } => {
                 self.fold_counts(&incarnation, &counts);
                 self.fold_state(&incarnation, seq, from, open);
+                self.touch(&incarnation, offset);
                 None
             }
             UsageBody::Close { window } => self.fold_close(window),
@@ -164,6 +169,12 @@
         }
     }
 
+    fn touch(&mut self, incarnation: &str, offset: u64) {
+        if let Some(known) = self.known.get_mut(incarnation) {
+            known.touched = offset;
+        }
+    }
+
     /// Whether a window was closed so long ago that silent incarnations are forgotten.
     fn is_expired(&self, window: u64) -> bool {
         let full = self.closings.len() == CLOSINGS_KEPT;
@@ -250,9 +261,12 @@
         true
     }
 
-    /// All windows, late figures and unfinished requests, as operators see them.
+    /// All windows and late figures, as operators see them.
+    ///
+    /// Requests are uncertain if they ran at an incarnation's last record, and that was
+    /// before the offset `silent`.
     #[must_use]
-    pub fn status(&self) -> UsageStatus {
+    pub fn status(&self, silent: u64) -> UsageStatus {
         let reported = self.reported.iter().map(|report| (report, true));
         let closed = self.unreported.values().map(|report| (report, false));
         let mut windows: Vec<UsageWindow> = reported.chain(closed).map(closed_window).collect();
@@ -261,11 +275,13 @@
             state: UsageWindowState::Open,
             window: *window,
         }));
+        let known = self.known.iter();
+        let silent_ones = known.filter(|(_, known)| known.touched < silent);
         UsageStatus {
             expired: Figures::default().lines(&self.expired),
             late: Figures::default().lines(&self.late),
             next: self.next,
-            uncertain: self.known.iter().flat_map(uncertain).collect(),
+            uncertain: silent_ones.flat_map(uncertain).collect(),
             windows,
         }
     }
@@ -310,6 +326,7 @@
         last: known.last,
         open: known.open.clone(),
         seq: known.seq,
+        touched: known.touched,
     }
 }
 
@@ -328,6 +345,7 @@
             .collect(),
         open: entry.open,
         last: entry.last,
+        touched: entry.touched,
     };
     (entry.incarnation.into(), known)
 }
--- a/src/log/usage/tests.rs
+++ b/src/log/usage/tests.rs
@@ -123,7 +123,7 @@
     let repeat = counters("old", 1, 0, &[(60, "desk", 5)]);
     fold.apply(fold.next(), &repeat);
     assert!(!fold.has_late(), "a repeat is charged again");
-    assert_eq!(fold.status().expired[0].late, 5);
+    assert_eq!(fold.status(0).expired[0].late, 5);
 }
 
 /// One step of a generated history.
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -949,6 +949,8 @@
     pub last: u64,
     pub open: ::std::vec::Vec<UsageOpen>,
     pub seq: u64,
+    #[doc = "Offset of its last record."]
+    pub touched: u64,
 }
 #[doc = "One tenant's figure. `late` holds what earlier windows missed."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
