--- a/src/cmd/replay.rs
+++ b/src/cmd/replay.rs
@@ -23,7 +23,10 @@
     help: bool,
     #[options(help = "base URL of the log service", required, meta = "URL")]
     log: String,
-    #[options(help = "only the window with this start in Unix seconds", meta = "START")]
+    #[options(
+        help = "only the window with this start in Unix seconds",
+        meta = "START"
+    )]
     window: Option<u64>,
     #[options(help = "print the reports as JSON, one on each line")]
     json: bool,
