--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,9 +7,11 @@
 mod key;
 mod publish;
 mod remote;
+mod replay;
 mod round;
 mod schema;
 mod status;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -46,6 +48,10 @@
     Round(round::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
     Status(status::Args),
+    #[options(help = "show usage windows")]
+    Usage(usage::Args),
+    #[options(help = "recompute usage reports from the log alone")]
+    Replay(replay::Args),
 }
 
 /// Parses the command line and runs the subcommand that it names.
@@ -64,6 +70,8 @@
         Command::Schema(args) => schema::run(&args),
         Command::Round(args) => round::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Usage(args) => usage::run(&args),
+        Command::Replay(args) => replay::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,10 +4,11 @@
 mod operator;
 mod rounds;
 mod serve;
+pub mod usage;
 
 use std::sync::Arc;
 
-use crate::edge::{HttpInstances, HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
@@ -27,6 +28,7 @@
     peers: Arc<Peers>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
+    usage: Arc<usage::UsageWindows>,
     metrics: Metrics,
     client: Client,
 }
@@ -42,8 +44,22 @@
         let incarnation = Incarnation::random();
         let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
-        let leases = leases::Leases::new(log, instances.clone(), &settings.instance, &incarnation);
+        let leases = leases::Leases::new(
+            log.clone(),
+            instances.clone(),
+            &settings.instance,
+            &incarnation,
+        );
+        let leases = Arc::new(leases);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
+        let usage = usage::UsageWindows::new(
+            log,
+            sink,
+            Arc::clone(&leases),
+            Arc::clone(&config),
+            &metrics.meter(),
+        );
         let peers = Peers::new(
             &settings,
             Daemon::Control,
@@ -56,7 +72,8 @@
             incarnation,
             config,
             peers,
-            leases: Arc::new(leases),
+            leases,
+            usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
             client,
             metrics,
@@ -75,6 +92,7 @@
         control.peers.run().await?;
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(Arc::clone(&control.usage).run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let rounds = Rounds::new(
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,6 +14,9 @@
     OrderOutcome, OrderRecord, OrderResult, PeerMessage, Price, Problem, Published, Pull, Pulled,
     Role, RoundEntry, RoundSpec, Run, Sample, SampleAnswer, SampleRequest, Segment, ServerList,
     ServerLoad, ServerState, ServerStatus, SessionOpen, SessionOpened, Slot, Status, TenantDemand,
+    Verdict,
+};
+pub use generated::{
     UsageBody, UsageCount, UsageIncarnation, UsageLine, UsageOpen, UsageRecord, UsageReport,
-    UsageSnapshot, UsageStatus, UsageUncertain, UsageUnit, UsageWindow, UsageWindowState, Verdict,
+    UsageSnapshot, UsageStatus, UsageUncertain, UsageUnit, UsageWindow, UsageWindowState,
 };
