--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod publish;
 mod remote;
 mod round;
+mod schema;
 mod status;
 
 use std::process::ExitCode;
@@ -41,6 +42,8 @@
     Key(key::Args),
     #[options(help = "create, show or cancel rollout rounds")]
     Round(round::Args),
+    #[options(help = "print the JSON Schema of manifests or settings")]
+    Schema(schema::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
     Status(status::Args),
 }
@@ -59,6 +62,7 @@
         Command::Publish(args) => publish::run(&args),
         Command::Key(args) => key::run(&args),
         Command::Round(args) => round::run(&args),
+        Command::Schema(args) => schema::run(&args),
         Command::Status(args) => status::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
--- a/src/control/rounds/serve.rs
+++ b/src/control/rounds/serve.rs
@@ -29,7 +29,7 @@
 pub(crate) async fn open(
     rounds: &Arc<Rounds>,
     headers: &HeaderMap,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let key = KeyDigest::of(bearer(headers)?);
     check_fresh(rounds)?;
@@ -61,7 +61,7 @@
     rounds: &Arc<Rounds>,
     id: &str,
     headers: &HeaderMap,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let key = KeyDigest::of(bearer(headers)?);
     check_fresh(rounds)?;
@@ -97,7 +97,7 @@
     Ok(json(StatusCode::OK, &()))
 }
 
-async fn parse<T: DeserializeOwned>(body: RequestBody) -> Result<T, Refusal> {
+async fn parse<T: DeserializeOwned>(body: &mut RequestBody) -> Result<T, Refusal> {
     let body = read_body(body, BODY_MAX, Instant::now() + UPLOAD).await?;
     serde_json::from_slice(&body)
         .map_err(|error| Refusal::not_run(RefusalKind::Malformed, error.to_string()))
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -8,7 +8,7 @@
 use xitca_web::body::RequestBody;
 
 use crate::entry::bearer;
-use crate::http::{Refusal, RefusalKind, Request, Response, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, refuse, whole};
 
 use super::rounds::{self, Rounds};
 use super::{Control, operator};
@@ -20,12 +20,15 @@
     request: Request,
 ) -> Response {
     let (head, body) = request.into_parts();
-    let (_, body) = body.replace_body(());
+    let (_, mut body) = body.replace_body(());
     let answered = match head.uri.path().strip_prefix("/v1/rounds/sessions") {
-        Some(rest) => trainer(&rounds, rest, &head, body).await,
-        None => dispatch(&control, &head, body).await,
+        Some(rest) => trainer(&rounds, rest, &head, &mut body).await,
+        None => dispatch(&control, &head, &mut body).await,
     };
-    answered.unwrap_or_else(|refusal| refusal.response())
+    match answered {
+        Ok(answer) => answer,
+        Err(refusal) => refuse(&refusal, &mut body).await,
+    }
 }
 
 /// Answers a trainer's call; `rest` is the path below the sessions.
@@ -33,7 +36,7 @@
     rounds: &Arc<Rounds>,
     rest: &str,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let mut parts = rest.trim_start_matches('/').split('/');
     match (&head.method, parts.next(), parts.next(), parts.next()) {
@@ -52,7 +55,7 @@
 async fn dispatch(
     control: &Arc<Control>,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     match (&head.method, head.uri.path()) {
         (&Method::GET, "/healthz") => Ok(whole(StatusCode::OK, "text/plain", Bytes::from("ok\n"))),
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -11,6 +11,7 @@
 
 use super::Entry;
 use super::generate::{Generation, Job};
+use super::usage::Tally;
 
 /// Engine priority of rollout work.
 const PRIORITY_ROLLOUT: u32 = 10;
@@ -40,9 +41,16 @@
         resume: request.resume,
         avoid: request.avoid.into_iter().map(Into::into).collect(),
     };
+    let most = job
+        .max_tokens
+        .saturating_sub(u32::try_from(held).unwrap_or(u32::MAX));
+    let mut tally = Tally::new(entry, &job.tenant, most);
+    if held > 0 {
+        tally = tally.resumed();
+    }
     let mut generation = Generation::new(Arc::clone(entry), job)?;
     let slice = Duration::from_millis(request.slice_ms);
-    let done = run(&mut generation, held, slice).await?;
+    let done = run(&mut generation, &mut tally, held, slice).await?;
     for segment in generation.segments() {
         super::generate::add_segment(&mut segments, segment.version, segment.tokens);
     }
@@ -59,7 +67,12 @@
 /// Runs a generation until it is whole, or broken, or its slice is over.
 ///
 /// The slice counts from the first token, so that waiting for a server uses none of it.
-async fn run(generation: &mut Generation, held: usize, slice: Duration) -> Result<bool, Refusal> {
+async fn run(
+    generation: &mut Generation,
+    tally: &mut Tally,
+    held: usize,
+    slice: Duration,
+) -> Result<bool, Refusal> {
     let mut until: Option<Instant> = None;
     loop {
         let next = match until {
@@ -69,6 +82,9 @@
                 Err(_) => return Ok(false),
             },
         };
+        if let Ok(chunk) = &next {
+            tally.count(generation.prompt_tokens(), chunk.tokens.len());
+        }
         match next {
             Ok(chunk) if chunk.done => return Ok(true),
             Ok(_) if !slice.is_zero() => {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -59,6 +59,12 @@
     #[doc = "snapshot\n\nThe folded state of all records before offset `upto`."]
     #[serde(rename = "snapshot")]
     Snapshot { state: ConfigSnapshot, upto: u64 },
+    #[doc = "server_mark\n\nMarks a backend server as leaving, or takes the mark away."]
+    #[serde(rename = "server_mark")]
+    ServerMark {
+        leaving: bool,
+        server: ::std::string::String,
+    },
 }
 #[doc = "One record of the configuration stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -71,6 +77,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigSnapshot {
     pub keys: ::std::vec::Vec<KeyEntry>,
+    #[doc = "Servers that are marked as leaving."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub leaving: ::std::vec::Vec<::std::string::String>,
     pub manifest: ::std::string::String,
     pub revision: u64,
     pub rounds: ::std::vec::Vec<RoundEntry>,
@@ -309,7 +318,7 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
 pub enum LeaseBody {
-    #[doc = "claim\n\nClaims a lease after the claim at offset `succeeds` (none for the first)."]
+    #[doc = "claim\n\nClaims a lease; `succeeds` is the offset of the role's last record that counted (none for the first)."]
     #[serde(rename = "claim")]
     Claim {
         holder: ::std::string::String,
@@ -323,6 +332,21 @@
     #[doc = "release\n\nGives up the claim at offset `claim`."]
     #[serde(rename = "release")]
     Release { claim: u64, role: Role },
+    #[doc = "snapshot\n\nThe folded leases of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot {
+        leases: ::std::vec::Vec<LeaseEntry>,
+        upto: u64,
+    },
+}
+#[doc = "One role's lease; `last` is the offset of the last record that counted."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct LeaseEntry {
+    pub claim: u64,
+    pub holder: ::std::string::String,
+    pub last: u64,
+    pub released: bool,
+    pub role: Role,
 }
 #[doc = "A lease as its holder sees it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -404,6 +428,9 @@
     Outcome {
         order: ::std::string::String,
         outcome: OrderOutcome,
+        #[doc = "The server that the order was about."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        server: ::std::option::Option<::std::string::String>,
     },
 }
 #[doc = "The end of an order."]
@@ -503,7 +530,10 @@
     #[serde(rename = "usage_copy")]
     UsageCopy {
         counts: ::std::vec::Vec<UsageCount>,
+        from: u64,
         incarnation: ::std::string::String,
+        open: ::std::vec::Vec<UsageOpen>,
+        seq: u64,
     },
     #[serde(rename = "state_ask")]
     StateAsk,
@@ -894,8 +924,17 @@
     #[serde(rename = "counters")]
     Counters {
         counts: ::std::vec::Vec<UsageCount>,
+        #[doc = "The log holds the last counts of this incarnation for all windows before this one."]
+        from: u64,
         incarnation: ::std::string::String,
+        #[doc = "Requests not yet counted, in place of earlier ones."]
+        open: ::std::vec::Vec<UsageOpen>,
+        #[doc = "Counts the incarnation's records."]
+        seq: u64,
     },
+    #[doc = "snapshot\n\nThe fold of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot { state: UsageSnapshot, upto: u64 },
     #[doc = "close\n\nCloses a window. The first one in log order counts; its offset is the cut."]
     #[serde(rename = "close")]
     Close { window: u64 },
@@ -909,9 +948,20 @@
     pub amount: u64,
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
-    #[doc = "Window number: Unix seconds divided by the window's length."]
+    #[doc = "Start of the window in Unix seconds, a multiple of the window's length."]
     pub window: u64,
 }
+#[doc = "What the fold keeps of one incarnation."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageIncarnation {
+    pub counts: ::std::vec::Vec<UsageCount>,
+    pub from: u64,
+    pub incarnation: ::std::string::String,
+    #[doc = "The latest window counted in."]
+    pub last: u64,
+    pub open: ::std::vec::Vec<UsageOpen>,
+    pub seq: u64,
+}
 #[doc = "One tenant's figure. `late` holds what earlier windows missed."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageLine {
@@ -920,6 +970,13 @@
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
 }
+#[doc = "Requests of a tenant that run and are not yet counted, with the most tokens they may make."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageOpen {
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "One record of the usage stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageRecord {
@@ -932,6 +989,41 @@
     pub lines: ::std::vec::Vec<UsageLine>,
     pub window: u64,
 }
+#[doc = "The state of the usage fold."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageSnapshot {
+    #[doc = "The windows closed last, oldest first."]
+    pub closings: ::std::vec::Vec<u64>,
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    pub incarnations: ::std::vec::Vec<UsageIncarnation>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Closed windows."]
+    pub unreported: ::std::vec::Vec<UsageReport>,
+    #[doc = "Figures of open windows."]
+    pub windows: ::std::vec::Vec<UsageReport>,
+}
+#[doc = "Answer of the operators' usage call."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageStatus {
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Offset up to which the log is folded."]
+    pub next: u64,
+    pub uncertain: ::std::vec::Vec<UsageUncertain>,
+    pub windows: ::std::vec::Vec<UsageWindow>,
+}
+#[doc = "Requests that an incarnation last said to run, and has not counted since."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageUncertain {
+    pub incarnation: ::std::string::String,
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "What is counted."]
 #[derive(
     :: serde :: Deserialize,
@@ -987,6 +1079,68 @@
         value.parse()
     }
 }
+#[doc = "One usage window as operators see it."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageWindow {
+    pub lines: ::std::vec::Vec<UsageLine>,
+    pub state: UsageWindowState,
+    pub window: u64,
+}
+#[doc = "State of a usage window."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum UsageWindowState {
+    #[serde(rename = "open")]
+    Open,
+    #[serde(rename = "closed")]
+    Closed,
+    #[serde(rename = "reported")]
+    Reported,
+}
+impl ::std::fmt::Display for UsageWindowState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Open => f.write_str("open"),
+            Self::Closed => f.write_str("closed"),
+            Self::Reported => f.write_str("reported"),
+        }
+    }
+}
+impl ::std::str::FromStr for UsageWindowState {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "open" => Ok(Self::Open),
+            "closed" => Ok(Self::Closed),
+            "reported" => Ok(Self::Reported),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "What the fold made of a configuration record."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
