--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -42,10 +42,10 @@
     Publish(publish::Args),
     #[options(help = "grant, withdraw or list keys")]
     Key(key::Args),
-    #[options(help = "print the JSON Schema of manifests or settings")]
-    Schema(schema::Args),
     #[options(help = "create, show or cancel rollout rounds")]
     Round(round::Args),
+    #[options(help = "print the JSON Schema of manifests or settings")]
+    Schema(schema::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
     Status(status::Args),
     #[options(help = "show usage windows")]
@@ -67,8 +67,8 @@
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(&args),
         Command::Key(args) => key::run(&args),
-        Command::Schema(args) => schema::run(&args),
         Command::Round(args) => round::run(&args),
+        Command::Schema(args) => schema::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Usage(args) => usage::run(&args),
         Command::Replay(args) => replay::run(&args),
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -47,6 +47,9 @@
     let left = (job.max_tokens as usize).saturating_sub(held);
     let (cost, deadline) = (enter::cost(job.prompt.len(), left), job.deadline);
     let mut tally = Tally::new(entry, &tenant, u32::try_from(left).unwrap_or(u32::MAX));
+    if held > 0 {
+        tally = tally.resumed();
+    }
     let mut generation = Generation::new(Arc::clone(entry), job)?;
     let arrival = Arrival {
         pool: generation.pool(),
