Drain entries, answer addresses from digests, end streams of withdrawn keys at once

Requests that wait, and streams between chunks, now notice a withdrawn key or lost freshness without a chunk.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,9 +8,11 @@
 mod api;
 mod auth;
 mod choose;
+mod drain;
 mod engine;
 mod enter;
 mod fair;
+mod fresh;
 mod generate;
 mod leak;
 mod limit;
@@ -29,6 +31,7 @@
 
 use arc_swap::ArcSwap;
 
+use crate::drain::Drain;
 use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
@@ -53,6 +56,8 @@
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
+    drain: Arc<Drain>,
+    hold: drain::HoldBound,
     servers: ServerTable,
     log: Arc<HttpLog>,
     usage: UsageCounters,
@@ -91,6 +96,8 @@
             incarnation,
             config,
             peers,
+            drain: Arc::default(),
+            hold: drain::HoldBound::default(),
             log,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
@@ -115,6 +122,7 @@
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
         entry.peers.run().await?;
+        tokio::spawn(drain::follow_hold(Arc::clone(&entry)));
         tokio::spawn(usage::follow(Arc::clone(&entry)));
         tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
@@ -128,6 +136,10 @@
             incarnation = entry.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
+        tokio::select! {
+            () = drain::drain(&entry) => {}
+            again = crate::util::stop_signal() => again?,
+        }
         drop(server);
         usage::flush(&entry, Instant::now() + FLUSH).await;
         Ok(())
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -14,7 +14,7 @@
 use super::Entry;
 use super::api::Call;
 use super::plain::{self, PlainCall};
-use super::{address, auth, enter, path, sample, stream};
+use super::{address, auth, enter, fresh, path, sample, stream};
 
 /// The pages of the entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Whether the page's requests do work, which a shutdown must finish.
+    fn is_work(self) -> bool {
+        matches!(self, Self::Complete(_) | Self::Sample | Self::Plain)
+    }
+
     /// Checks the request's method.
     fn check(self, method: &Method) -> Result<(), Refusal> {
         let expected = match self {
@@ -90,19 +95,33 @@
     body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     page.check(&head.method)?;
+    let _active = if page.is_work() {
+        Some(entry.drain.enter().ok_or_else(leaving)?)
+    } else {
+        None
+    };
     match page {
         Page::Health => Ok(whole(StatusCode::OK, "text/plain", Bytes::from("ok\n"))),
         Page::Metrics => {
             let text = Bytes::from(entry.metrics.text());
             Ok(whole(StatusCode::OK, "text/plain; version=0.0.4", text))
         }
-        Page::Addresses => Ok(json(StatusCode::OK, &address::addresses(entry))),
+        Page::Addresses => {
+            let addresses = address::addresses(entry, head.uri.query())?;
+            Ok(json(StatusCode::OK, &addresses))
+        }
         Page::Complete(call) => complete(entry, call, head, body).await,
         Page::Sample => internal_sample(entry, head, body).await,
         Page::Plain => plain_call(entry, head, body).await,
     }
 }
 
+/// The refusal of an entry that takes no new work.
+fn leaving() -> Refusal {
+    let detail = "this entry is shutting down; ask for addresses again";
+    Refusal::not_run(RefusalKind::Leaving, detail).retry_after(1)
+}
+
 async fn complete(
     entry: &Arc<Entry>,
     call: Call,
@@ -111,7 +130,7 @@
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     check_headers(&state, head)?;
-    check_fresh(entry)?;
+    fresh::check(entry)?;
     let caller = auth::caller(&state, &head.headers)?;
     let limit = state.manifest.limits.request;
     let deadline = enter::deadline(&head.headers, limit, Instant::now())?;
@@ -129,7 +148,7 @@
     if !entry.settings.peer_secret.is(token) {
         return Err(auth::invalid());
     }
-    check_fresh(entry)?;
+    fresh::check(entry)?;
     let body = take_body(&state, body).await?;
     sample::sample(entry, &body).await
 }
@@ -147,7 +166,7 @@
         let detail = format!("no route for {path}");
         return Err(Refusal::not_run(RefusalKind::NotFound, detail));
     };
-    check_fresh(entry)?;
+    fresh::check(entry)?;
     let caller = if route.open {
         None
     } else {
@@ -185,12 +204,3 @@
     let detail = format!("the headers hold {total} bytes, more than {limit}");
     Err(Refusal::not_run(RefusalKind::HeadersTooLarge, detail))
 }
-
-/// Refuses keyed work while the configuration may be out of date.
-fn check_fresh(entry: &Entry) -> Result<(), Refusal> {
-    if entry.peers.is_fresh(Instant::now()) {
-        return Ok(());
-    }
-    let detail = "this entry cannot show that its configuration is up to date";
-    Err(Refusal::not_run(RefusalKind::NotFresh, detail).retry_after(1))
-}
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -6,15 +6,17 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+use crate::drain::Active;
 use crate::http::{Refusal, RefusalKind, Response, streamed, whole};
 use crate::util::{random_id, unix_ms};
-use crate::wire::EngineChunk;
+use crate::wire::{EngineChunk, Run};
 
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
-use super::auth::{self, Caller};
+use super::auth::Caller;
 use super::enter::{self, Arrival, Entered};
 use super::fair::Class;
+use super::fresh;
 use super::generate::{Generation, Job};
 use super::leak;
 use super::usage::Tally;
@@ -64,7 +66,8 @@
         limited: true,
         deadline,
     };
-    let entered = enter::enter(entry, arrival).await?;
+    let entering = enter::enter(entry, arrival);
+    let entered = fresh::while_valid(entry, &caller.digest, Run::NotRun, entering).await??;
     let mut relay = Relay {
         tally: Tally::new(entry, &caller.tenant, most),
         entry: Arc::clone(entry),
@@ -73,6 +76,7 @@
         generation,
         entered,
         base_cost,
+        _active: entry.drain.hold(),
         first: None,
         ended: false,
     };
@@ -96,6 +100,7 @@
     entered: Entered,
     base_cost: f64,
     tally: Tally,
+    _active: Active,
     first: Option<EngineChunk>,
     ended: bool,
 }
@@ -106,17 +111,9 @@
         if let Some(first) = self.first.take() {
             return Ok(first);
         }
-        let chunk = self.generation.next().await?;
-        if self
-            .entry
-            .config
-            .state()
-            .tenant(&self.caller.digest)
-            .is_none()
-        {
-            let detail = auth::invalid().detail;
-            return Err(Refusal::unknown(RefusalKind::KeyInvalid, detail));
-        }
+        let next = self.generation.next();
+        let key = &self.caller.digest;
+        let chunk = fresh::while_valid(&self.entry, key, Run::Unknown, next).await??;
         let prompt = self.generation.prompt_tokens();
         self.tally.count(prompt, chunk.tokens.len());
         let made = self.generation.tokens().len();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`settings`], [`manifest`], [`checked`] | what operators write, and how it is checked |
 //! | [`edge`] | traits for the outside systems, and their HTTP clients |
 //! | [`lease`] | when a lease may be claimed and used |
+//! | [`drain`] | graceful shutdown |
 //! | [`log`] | folds of the log's streams |
 //! | [`entry`] | the callers' side |
 //! | [`control`] | the operators' and the platform's side |
@@ -19,6 +20,7 @@
 pub mod checked;
 pub mod cmd;
 pub mod control;
+pub mod drain;
 pub mod edge;
 pub mod entry;
 pub mod http;
--- a/src/peer/members.rs
+++ b/src/peer/members.rs
@@ -35,8 +35,19 @@
 
 /// Keeps the knowledge of a majority up to date for ever.
 pub(super) async fn review(peers: Arc<Peers>) {
+    let mut was_fresh = false;
     loop {
         peers.review_majority();
+        let now = Instant::now();
+        let fresh = peers.is_fresh(now);
+        if was_fresh && !fresh {
+            spdlog::warn!("configuration may be out of date", kv: {
+                next = peers.config.state().next,
+            });
+            peers.wake.send_modify(|count| *count += 1);
+        }
+        was_fresh = fresh;
+        peers.count_own(now);
         tokio::time::sleep(REVIEW).await;
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -232,6 +232,12 @@
         self.handlers.write().push(Arc::new(handler));
     }
 
+    /// Watches for changes of the configuration and the loss of its freshness.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.wake.subscribe()
+    }
+
     /// Open links, one for each peer.
     #[must_use]
     pub fn links(&self) -> Vec<Arc<Link>> {
