--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,6 +3,7 @@
 //! They are never part of an instance. One process holds the whole platform and the
 //! backend servers; its faults are set by `POST /fault`.
 
+pub mod demo;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
@@ -32,6 +33,10 @@
 enum Command {
     #[options(help = "serve the platform's interfaces and backend servers")]
     Platform(platform::Args),
+    #[options(help = "go through the main job once and check every answer")]
+    Demo(demo::Args),
+    #[options(help = "compare reported usage with a replay")]
+    Compare(demo::CompareArgs),
 }
 
 /// Parses the command line and runs the stand-in that it names.
@@ -44,6 +49,8 @@
     };
     let done = match command {
         Command::Platform(args) => platform::run(&args),
+        Command::Demo(args) => demo::run(&args),
+        Command::Compare(args) => demo::compare(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
