Run 10,000 generated schedules over the lease decisions

Cause: no order may lie outside its holder's lease. Found by the first run: a renewal that was confirmed after leave() made the lease usable again; leave now also holds for later confirmations.

--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -113,6 +113,9 @@
         let Some(at) = sent.map(|sent| sent.at) else {
             return;
         };
+        if self.leaving {
+            return;
+        }
         // A renewal that was sent earlier may be confirmed later.
         let at = self.renewed.map_or(at, |renewed| renewed.max(at));
         self.renewed = Some(at);
--- a/src/lease/schedule.rs
+++ b/src/lease/schedule.rs
@@ -1,1 +1,314 @@
+//! Generated schedules over the real decisions: freezes, lost answers, late appends,
+//! outages, restarts, expiry, and clocks whose rates differ by 1%.
 
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use super::Roles;
+use crate::log::LeaseFold;
+use crate::wire::{LogEntry, LogPage, Role};
+
+const SEED: u64 = 20_261_204;
+const SCHEDULES: u64 = 10_000;
+const THREADS: u64 = 4;
+const PROCESSES: usize = 3;
+/// Length of one schedule and of one step, in milliseconds of true time.
+const LENGTH: u64 = 40_000;
+const TICK: u64 = 50;
+/// Time for which the kernel may still deliver bytes of an order.
+const DELIVERY: u64 = 500;
+
+/// An order that reached the platform.
+struct Sent {
+    arrival: u64,
+    claim: u64,
+}
+
+/// The log, with the true time at which each record took effect.
+#[derive(Default)]
+struct World {
+    now: u64,
+    records: Vec<(u64, String)>,
+    first: usize,
+    /// Records on their way: when they take effect, and their text.
+    coming: Vec<(u64, String)>,
+    down: u64,
+    sent: Vec<Sent>,
+    takeovers: u64,
+}
+
+struct Process {
+    roles: Roles,
+    base: Instant,
+    rate: f64,
+    frozen: u64,
+    cut: u64,
+    read: Option<(u64, LogPage)>,
+    /// Records that wait for the process to thaw before they are sent.
+    unsent: VecDeque<String>,
+    leaving: Option<u64>,
+    until: Instant,
+}
+
+impl Process {
+    fn new(rng: &mut StdRng, base: Instant) -> Self {
+        let stagger = Duration::from_millis(rng.random_range(0..500));
+        Self {
+            roles: Roles::new(
+                &[Role::Servers],
+                &format!("{:x}", rng.random::<u64>()),
+                stagger,
+            ),
+            base,
+            rate: rng.random_range(0.995..=1.005),
+            frozen: 0,
+            cut: 0,
+            read: None,
+            unsent: VecDeque::new(),
+            leaving: None,
+            until: base,
+        }
+    }
+
+    /// The process's own clock.
+    fn clock(&self, now: u64) -> Instant {
+        let millis = Duration::from_millis(now);
+        self.base + millis.mul_f64(self.rate)
+    }
+
+    fn step(&mut self, world: &mut World, rng: &mut StdRng) {
+        if world.now < self.frozen {
+            return;
+        }
+        while let Some(text) = self.unsent.pop_front() {
+            self.append(world, rng, text);
+        }
+        self.read(world, rng);
+        let now = self.clock(world.now);
+        if let Some(held) = self.roles.held(Role::Servers, now)
+            && rng.random_bool(0.3)
+        {
+            world.sent.push(Sent {
+                arrival: world.now + rng.random_range(0..=DELIVERY),
+                claim: held.claim,
+            });
+        }
+        self.decide(world.now, now, rng);
+        self.leave(world, rng);
+    }
+
+    fn read(&mut self, world: &World, rng: &mut StdRng) {
+        let done = self.read.take_if(|(at, _)| *at <= world.now);
+        if let Some((_, page)) = done {
+            let received = self.clock(world.now);
+            self.roles.take(&page, received);
+            self.until = received;
+        }
+        let reachable = world.now >= self.cut.max(world.down);
+        let news = world.records.len() as u64 > self.roles.next() || rng.random_bool(0.1);
+        if self.read.is_none() && reachable && news {
+            let slow = rng.random_bool(0.03);
+            let latency = if slow { 4_000 } else { 30 };
+            let at = world.now + rng.random_range(0..latency);
+            self.read = Some((at, world.page(self.roles.next())));
+        }
+    }
+
+    fn decide(&mut self, true_now: u64, now: Instant, rng: &mut StdRng) {
+        if now < self.until {
+            return;
+        }
+        let due = self.roles.due(now, |_| true);
+        self.until = due.until;
+        for record in due.records {
+            let text = serde_json::to_string(&record).expect("a record");
+            self.unsent.push_back(text);
+        }
+        // A freeze between the decision and the send.
+        if !self.unsent.is_empty() && rng.random_bool(0.05) {
+            self.frozen = true_now + rng.random_range(0..12_000);
+        }
+    }
+
+    /// Sends a record, which may take effect late or never, whatever is answered.
+    fn append(&self, world: &mut World, rng: &mut StdRng, text: String) {
+        let reachable = world.now >= self.cut.max(world.down);
+        let delay = match rng.random_range(0..100) {
+            0..10 => rng.random_range(0..15_000),
+            10..15 => return,
+            _ if !reachable => return,
+            _ => rng.random_range(1..30),
+        };
+        world.coming.push((world.now + delay, text));
+    }
+
+    /// A shutdown: no more use, then the release once nothing is on its way.
+    fn leave(&mut self, world: &mut World, rng: &mut StdRng) {
+        match self.leaving {
+            None if rng.random_bool(0.000_5) => {
+                self.roles.leave();
+                self.leaving = Some(world.now + DELIVERY);
+            }
+            Some(at) if world.now > at => {
+                if let Some(record) = self.roles.release(Role::Servers) {
+                    let text = serde_json::to_string(&record).expect("a record");
+                    self.append(world, rng, text);
+                }
+                *self = Self::new(rng, self.base);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl World {
+    fn page(&self, from: u64) -> LogPage {
+        let from = usize::try_from(from).expect("few records").max(self.first);
+        let records = self.records.iter().enumerate().skip(from).take(20);
+        LogPage {
+            first: self.first as u64,
+            next: self.records.len() as u64,
+            records: records
+                .map(|(offset, (_, data))| LogEntry {
+                    offset: offset as u64,
+                    data: data.clone(),
+                })
+                .collect(),
+        }
+    }
+
+    fn tick(&mut self, rng: &mut StdRng) {
+        self.now += TICK;
+        self.coming.sort_by_key(|(at, _)| *at);
+        while self.coming.first().is_some_and(|(at, _)| *at <= self.now) {
+            let (at, text) = self.coming.remove(0);
+            self.records.push((at, text));
+        }
+        if rng.random_bool(0.000_5) {
+            self.down = self.now + rng.random_range(0..20_000);
+        }
+        if rng.random_bool(0.002) {
+            // Only the newest snapshot and what follows it is sure to stay.
+            let is_snapshot = |(_, text): &(u64, String)| text.contains("\"snapshot\"");
+            let last = self.records.iter().rposition(is_snapshot).unwrap_or(0);
+            let keep = last.saturating_sub(rng.random_range(0..5));
+            self.first = self.first.max(keep);
+        }
+    }
+
+    /// Checks each order against the claims that won, by a fold of the whole log.
+    fn check(&mut self) {
+        let whole = LogPage {
+            first: 0,
+            ..self.page_of_all()
+        };
+        let mut fold = LeaseFold::default();
+        let mut claims: Vec<(u64, u64)> = Vec::new();
+        for (entry, (at, _)) in whole.records.into_iter().zip(&self.records) {
+            let page = LogPage {
+                first: 0,
+                next: entry.offset + 1,
+                records: vec![entry],
+            };
+            fold.apply_page(&page);
+            let claim = fold.lease(Role::Servers).map(|lease| lease.claim);
+            if let Some(claim) = claim
+                && claims.last().is_none_or(|(last, _)| *last != claim)
+            {
+                claims.push((claim, *at));
+            }
+        }
+        self.takeovers = claims.len() as u64;
+        for sent in &self.sent {
+            let place = claims.iter().position(|(claim, _)| *claim == sent.claim);
+            let place = place.expect("an order under a claim that never won");
+            let from = claims[place].1;
+            let to = claims.get(place + 1).map_or(u64::MAX, |(_, at)| *at);
+            assert!(
+                (from..to).contains(&sent.arrival),
+                "an order of claim {} at {} outside {from}..{to}",
+                sent.claim,
+                sent.arrival
+            );
+        }
+    }
+
+    fn page_of_all(&self) -> LogPage {
+        let entries = self.records.iter().enumerate();
+        LogPage {
+            first: 0,
+            next: self.records.len() as u64,
+            records: entries
+                .map(|(offset, (_, data))| LogEntry {
+                    offset: offset as u64,
+                    data: data.clone(),
+                })
+                .collect(),
+        }
+    }
+}
+
+/// Runs one schedule; returns its orders and its takeovers.
+fn run(seed: u64) -> (u64, u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let base = Instant::now() + Duration::from_secs(3_600);
+    let mut world = World::default();
+    let mut processes: Vec<Process> = (0..PROCESSES)
+        .map(|_| Process::new(&mut rng, base))
+        .collect();
+    while world.now < LENGTH {
+        world.tick(&mut rng);
+        for process in &mut processes {
+            if rng.random_bool(0.002) {
+                process.frozen = world.now + rng.random_range(0..15_000);
+            }
+            if rng.random_bool(0.002) {
+                process.cut = world.now + rng.random_range(0..15_000);
+            }
+            if rng.random_bool(0.000_5) {
+                *process = Process::new(&mut rng, base);
+            }
+            process.step(&mut world, &mut rng);
+        }
+        let now = world.now;
+        let holders = processes.iter().filter(|process| {
+            let clock = process.clock(now);
+            process.roles.held(Role::Servers, clock).is_some()
+        });
+        assert!(holders.count() <= 1, "two holders at {now}, seed {seed}");
+    }
+    world.check();
+    (world.sent.len() as u64, world.takeovers)
+}
+
+#[test]
+fn schedules_one_holder() {
+    println!("seeds {SEED}..{}", SEED + SCHEDULES);
+    let started = Instant::now();
+    let share = SCHEDULES / THREADS;
+    let threads: Vec<_> = (0..THREADS)
+        .map(|thread| {
+            let first = SEED + thread * share;
+            std::thread::spawn(move || {
+                let runs = (first..first + share).map(run);
+                runs.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1))
+            })
+        })
+        .collect();
+    let mut total = (0, 0);
+    for thread in threads {
+        let (orders, claims) = thread.join().expect("no schedule fails");
+        total = (total.0 + orders, total.1 + claims);
+    }
+    let taken = started.elapsed();
+    println!(
+        "{SCHEDULES} schedules, {} orders, {} claims, {taken:?}",
+        total.0, total.1
+    );
+    // The schedules prove nothing if nobody holds or takes over.
+    assert!(total.0 > SCHEDULES * 100, "few orders: {}", total.0);
+    assert!(total.1 > SCHEDULES * 3 / 2, "few claims: {}", total.1);
+}
