--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -8,16 +8,13 @@
 use http::{Method, StatusCode};
 use xitca_web::body::RequestBody;
 
-use crate::http::{Refusal, RefusalKind, Request, Response, json, read_body, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, json, read_body, refuse, whole};
 use crate::log::ConfigState;
 
 use super::Entry;
 use super::api::Call;
 use super::plain::{self, PlainCall};
-use super::{address, auth, sample, stream};
-
-/// Age after which the configuration no longer counts as fresh.
-const FRESH_FOR: Duration = Duration::from_secs(3);
+use super::{address, auth, enter, fresh, path, sample, stream};
 
 /// The pages of the entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -54,6 +51,11 @@
         }
     }
 
+    /// Whether the page's requests do work, which a shutdown must finish.
+    fn is_work(self) -> bool {
+        matches!(self, Self::Complete(_) | Self::Sample | Self::Plain)
+    }
+
     /// Checks the request's method.
     fn check(self, method: &Method) -> Result<(), Refusal> {
         let expected = match self {
@@ -72,62 +74,81 @@
 /// Answers one request.
 pub(super) async fn answer(entry: Arc<Entry>, request: Request) -> Response {
     let (head, body) = request.into_parts();
-    let (_, body) = body.replace_body(());
+    let (_, mut body) = body.replace_body(());
     let page = Page::of(head.uri.path());
-    let answered = dispatch(&entry, page, &head, body).await;
+    let answered = dispatch(&entry, page, &head, &mut body).await;
     let outcome = match &answered {
         Ok(_) => "ok".to_owned(),
         Err(refusal) => refusal.kind.to_string(),
     };
     entry.counts.request("", page.name(), &outcome);
-    answered.unwrap_or_else(|refusal| refusal.response())
+    match answered {
+        Ok(answer) => answer,
+        Err(refusal) => refuse(&refusal, &mut body).await,
+    }
 }
 
 async fn dispatch(
     entry: &Arc<Entry>,
     page: Page,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     page.check(&head.method)?;
+    let _active = if page.is_work() {
+        Some(entry.drain.enter().ok_or_else(leaving)?)
+    } else {
+        None
+    };
     match page {
         Page::Health => Ok(whole(StatusCode::OK, "text/plain", Bytes::from("ok\n"))),
         Page::Metrics => {
             let text = Bytes::from(entry.metrics.text());
             Ok(whole(StatusCode::OK, "text/plain; version=0.0.4", text))
         }
-        Page::Addresses => Ok(json(StatusCode::OK, &address::addresses(entry))),
+        Page::Addresses => {
+            let addresses = address::addresses(entry, head.uri.query())?;
+            Ok(json(StatusCode::OK, &addresses))
+        }
         Page::Complete(call) => complete(entry, call, head, body).await,
         Page::Sample => internal_sample(entry, head, body).await,
         Page::Plain => plain_call(entry, head, body).await,
     }
 }
 
+/// The refusal of an entry that takes no new work.
+fn leaving() -> Refusal {
+    let detail = "this entry is shutting down; ask for addresses again";
+    Refusal::not_run(RefusalKind::Leaving, detail).retry_after(1)
+}
+
 async fn complete(
     entry: &Arc<Entry>,
     call: Call,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     check_headers(&state, head)?;
-    check_fresh(entry)?;
+    fresh::check(entry)?;
     let caller = auth::caller(&state, &head.headers)?;
+    let limit = state.manifest.limits.request;
+    let deadline = enter::deadline(&head.headers, limit, Instant::now())?;
     let body = take_body(&state, body).await?;
-    stream::complete(entry, call, caller, &body).await
+    stream::complete(entry, call, caller, deadline, &body).await
 }
 
 async fn internal_sample(
     entry: &Arc<Entry>,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     let token = auth::bearer(&head.headers)?;
     if !entry.settings.peer_secret.is(token) {
         return Err(auth::invalid());
     }
-    check_fresh(entry)?;
+    fresh::check(entry)?;
     let body = take_body(&state, body).await?;
     sample::sample(entry, &body).await
 }
@@ -135,16 +156,17 @@
 async fn plain_call(
     entry: &Arc<Entry>,
     head: &Parts,
-    body: RequestBody,
+    body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     check_headers(&state, head)?;
     let path = head.uri.path();
+    path::check(path)?;
     let Some(route) = state.manifest.route(path) else {
         let detail = format!("no route for {path}");
         return Err(Refusal::not_run(RefusalKind::NotFound, detail));
     };
-    check_fresh(entry)?;
+    fresh::check(entry)?;
     let caller = if route.open {
         None
     } else {
@@ -164,7 +186,7 @@
     plain::relay(entry, route, tenant, call).await
 }
 
-async fn take_body(state: &ConfigState, body: RequestBody) -> Result<Bytes, Refusal> {
+async fn take_body(state: &ConfigState, body: &mut RequestBody) -> Result<Bytes, Refusal> {
     let limits = state.manifest.limits;
     let deadline = Instant::now() + Duration::from_millis(limits.upload);
     Ok(read_body(body, limits.body, deadline).await?)
@@ -182,13 +204,3 @@
     let detail = format!("the headers hold {total} bytes, more than {limit}");
     Err(Refusal::not_run(RefusalKind::HeadersTooLarge, detail))
 }
-
-/// Refuses keyed work while the configuration may be out of date.
-fn check_fresh(entry: &Entry) -> Result<(), Refusal> {
-    let seen = entry.config.freshness().seen();
-    if seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR) {
-        return Ok(());
-    }
-    let detail = "this entry cannot show that its configuration is up to date";
-    Err(Refusal::not_run(RefusalKind::NotFresh, detail).retry_after(1))
-}
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -1,20 +1,25 @@
 //! Completion calls: from the body to a whole or streamed answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::StatusCode;
 
+use crate::drain::Active;
 use crate::http::{Refusal, RefusalKind, Response, streamed, whole};
 use crate::util::{random_id, unix_ms};
-use crate::wire::{EngineChunk, UsageUnit};
+use crate::wire::{EngineChunk, Run};
 
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
-use super::auth::{self, Caller};
+use super::auth::Caller;
+use super::enter::{self, Arrival, Entered};
+use super::fair::Class;
+use super::fresh;
 use super::generate::{Generation, Job};
 use super::leak;
+use super::usage::Tally;
 
 /// Engine priority of live requests.
 const PRIORITY_LIVE: u32 = 0;
@@ -24,12 +29,14 @@
     entry: &Arc<Entry>,
     call: Call,
     caller: Caller,
+    deadline: Instant,
     body: &[u8],
 ) -> Result<Response, Refusal> {
     let arrived = Instant::now();
     let prompt = api::parse(call, body)?;
     leak::refuse_key("prompt", prompt.text.as_bytes())?;
-    let limits = entry.config.state().manifest.limits;
+    let cost = enter::cost(prompt.text.len(), prompt.max_tokens as usize);
+    let base_cost = enter::cost(prompt.text.len(), 0);
     let shape = Shape {
         call,
         id: format!("cmpl-{}", random_id()),
@@ -44,18 +51,32 @@
         max_tokens: prompt.max_tokens,
         priority: PRIORITY_LIVE,
         seed: prompt.seed,
-        deadline: arrived + Duration::from_millis(limits.request),
+        deadline,
         version: None,
         resume: Vec::new(),
         avoid: Vec::new(),
     };
+    let most = job.max_tokens;
     let generation = Generation::new(Arc::clone(entry), job)?;
+    let arrival = Arrival {
+        pool: generation.pool(),
+        tenant: Some(&caller.tenant),
+        class: Class::Live,
+        cost,
+        limited: true,
+        deadline,
+    };
+    let entering = enter::enter(entry, arrival);
+    let entered = fresh::while_valid(entry, &caller.digest, Run::NotRun, entering).await??;
     let mut relay = Relay {
-        tally: Tally::new(entry, &caller),
+        tally: Tally::new(entry, &caller.tenant, most),
         entry: Arc::clone(entry),
         caller,
         shape,
         generation,
+        entered,
+        base_cost,
+        _active: entry.drain.hold(),
         first: None,
         ended: false,
     };
@@ -70,50 +91,16 @@
     }
 }
 
-/// Tokens of one request, added to the usage counters when it is dropped.
-#[derive(Debug)]
-struct Tally {
-    entry: Arc<Entry>,
-    caller: Caller,
-    tokens_in: u64,
-    tokens_out: u64,
-}
-
-impl Tally {
-    fn new(entry: &Arc<Entry>, caller: &Caller) -> Self {
-        Self {
-            entry: Arc::clone(entry),
-            caller: caller.clone(),
-            tokens_in: 0,
-            tokens_out: 0,
-        }
-    }
-}
-
-impl Drop for Tally {
-    fn drop(&mut self) {
-        if self.tokens_out == 0 {
-            return;
-        }
-        let window = self.entry.config.state().manifest.window;
-        let tenant = &self.caller.tenant;
-        let amounts = [
-            (UsageUnit::Requests, 1),
-            (UsageUnit::TokensIn, self.tokens_in),
-            (UsageUnit::TokensOut, self.tokens_out),
-        ];
-        self.entry.usage.add(unix_ms(), window, tenant, &amounts);
-        self.entry.counts.tokens(tenant, self.tokens_out);
-    }
-}
-
 /// Relays one generation to one caller.
 struct Relay {
     entry: Arc<Entry>,
     caller: Caller,
     shape: Shape,
     generation: Generation,
+    entered: Entered,
+    base_cost: f64,
     tally: Tally,
+    _active: Active,
     first: Option<EngineChunk>,
     ended: bool,
 }
@@ -124,19 +111,13 @@
         if let Some(first) = self.first.take() {
             return Ok(first);
         }
-        let chunk = self.generation.next().await?;
-        if self
-            .entry
-            .config
-            .state()
-            .tenant(&self.caller.digest)
-            .is_none()
-        {
-            let detail = auth::invalid().detail;
-            return Err(Refusal::unknown(RefusalKind::KeyInvalid, detail));
-        }
-        self.tally.tokens_in = u64::from(self.generation.prompt_tokens());
-        self.tally.tokens_out += chunk.tokens.len() as u64;
+        let next = self.generation.next();
+        let key = &self.caller.digest;
+        let chunk = fresh::while_valid(&self.entry, key, Run::Unknown, next).await??;
+        let prompt = self.generation.prompt_tokens();
+        self.tally.count(prompt, chunk.tokens.len());
+        let made = self.generation.tokens().len();
+        self.entered.settle(self.base_cost + enter::cost(0, made));
         Ok(chunk)
     }
 
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -5,9 +5,11 @@
 mod lease;
 mod snapshot;
 mod tail;
+mod usage;
 
 pub use backoff::Backoff;
 pub use config::{ConfigFold, ConfigState, KeyInfo};
 pub use lease::{Lease, LeaseChange, LeaseFold};
 pub use snapshot::SnapshotClock;
 pub use tail::{ConfigLog, Freshness};
+pub use usage::{CLOSINGS_KEPT, UsageFold, UsageReader};
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::checked::{self, Findings};
+use crate::checked::{self, Field, Findings};
 use crate::names::{Model, Pool, Tenant, Zone};
 
 /// A checked manifest.
@@ -68,6 +68,18 @@
     pub choice: ChoicePolicy,
     /// How waiting requests are ordered.
     pub queue: QueuePolicy,
+    /// How the samples of a round are ordered and carried over.
+    pub rounds: RoundPolicy,
+}
+
+/// How the samples of a round are ordered and carried over.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RoundPolicy {
+    /// Long samples and the last ones of groups first; parts are carried over.
+    #[default]
+    Stragglers,
+    /// Groups in order; a sample that broke off is made again from the start.
+    Ordered,
 }
 
 /// How a backend server is chosen.
@@ -164,6 +176,12 @@
         checked::read(text, parse::manifest)
     }
 
+    /// The fields that a manifest may have.
+    #[must_use]
+    pub fn fields() -> Vec<Field> {
+        checked::fields(parse::manifest)
+    }
+
     /// The route with the longest path that `path` falls under.
     #[must_use]
     pub fn route(&self, path: &str) -> Option<&RouteSpec> {
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -30,6 +30,16 @@
     pub state: ServerState,
     pub zone: ::std::string::String,
 }
+#[doc = "The part of a digest that changes all the time."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct Beat {
+    pub age: u64,
+    pub fresh: bool,
+    #[doc = "Hash of the incarnation."]
+    pub id: u64,
+    pub next: u64,
+    pub seq: u64,
+}
 #[doc = "What a configuration record says."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
@@ -145,13 +155,17 @@
 #[doc = "What one daemon tells its peers about itself; passed on by peers. A higher `seq` replaces a lower one."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Digest {
+    #[doc = "Time since `seq` was counted up, added up along the way."]
+    pub age_ms: u64,
     #[doc = "Offset of the configuration stream up to which the sender has folded."]
     pub config_next: u64,
+    #[doc = "The `seq` of the last change of what no beat carries."]
+    pub content: u64,
     pub crashes: ::std::vec::Vec<Crash>,
     pub daemon: Daemon,
     pub demand: ::std::vec::Vec<TenantDemand>,
-    #[doc = "Age of the sender's knowledge of the log's head when the digest was made or passed on."]
-    pub fresh_age_ms: u64,
+    #[doc = "Whether the sender could show that its configuration is up to date."]
+    pub fresh: bool,
     pub incarnation: ::std::string::String,
     pub instance: ::std::string::String,
     pub leases: ::std::vec::Vec<LeaseHeld>,
@@ -159,6 +173,8 @@
     pub loads: ::std::vec::Vec<ServerLoad>,
     #[doc = "SHA-256 of the manifest in force, in hex."]
     pub manifest: ::std::string::String,
+    #[doc = "Address of the sender's peers' link."]
+    pub peer: ::std::string::String,
     pub revision: u64,
     pub seq: u64,
     pub url: ::std::string::String,
@@ -211,7 +227,7 @@
     #[doc = "Seed of this sample."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub seed: ::std::option::Option<u64>,
-    #[doc = "Weight version that is required, when any."]
+    #[doc = "Oldest weight version that may make these tokens, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
@@ -513,9 +529,24 @@
         incarnation: ::std::string::String,
         instance: ::std::string::String,
     },
-    #[doc = "digests\n\nDigests that the sender knows."]
+    #[doc = "digests\n\nDigests and beats that the receiver lacks, and what the sender knows of the log's head."]
     #[serde(rename = "digests")]
-    Digests { digests: ::std::vec::Vec<Digest> },
+    Digests {
+        beats: ::std::vec::Vec<Beat>,
+        digests: ::std::vec::Vec<Digest>,
+        #[doc = "The last stamp that came from the receiver."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        echo: ::std::option::Option<u64>,
+        #[doc = "Time since `next` was the log's head or past it."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        head_age_ms: ::std::option::Option<u64>,
+        #[doc = "Time since that stamp came."]
+        held_ms: u64,
+        #[doc = "Offset up to which the sender has folded."]
+        next: u64,
+        #[doc = "The sender's clock in milliseconds."]
+        stamp: u64,
+    },
     #[doc = "once_ask\n\nAsks the incarnation that owns an idempotency key for its answer."]
     #[serde(rename = "once_ask")]
     OnceAsk {
@@ -530,7 +561,10 @@
     #[serde(rename = "usage_copy")]
     UsageCopy {
         counts: ::std::vec::Vec<UsageCount>,
+        from: u64,
         incarnation: ::std::string::String,
+        open: ::std::vec::Vec<UsageOpen>,
+        seq: u64,
     },
     #[serde(rename = "state_ask")]
     StateAsk,
@@ -610,6 +644,8 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Pull {
     pub max: u32,
+    #[doc = "1 for the first pull. A repeat carries the same number; the next number acknowledges the last batch."]
+    pub seq: u64,
     pub version: u64,
     pub wait_ms: u64,
 }
@@ -618,6 +654,7 @@
 pub struct Pulled {
     pub missing: u32,
     pub samples: ::std::vec::Vec<Sample>,
+    pub seq: u64,
 }
 #[doc = "What a lease is held for."]
 #[derive(
@@ -754,6 +791,8 @@
 #[doc = "A whole sample with the weight versions that made it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Sample {
+    #[doc = "Request id that the engines echoed."]
+    pub id: ::std::string::String,
     pub segments: ::std::vec::Vec<Segment>,
     pub slot: Slot,
     pub text: ::std::string::String,
@@ -771,13 +810,20 @@
 pub struct SampleRequest {
     pub avoid: ::std::vec::Vec<::std::string::String>,
     pub deadline_ms: u64,
+    #[doc = "Request id, the same for all parts of one sample."]
+    pub id: ::std::string::String,
     pub max_tokens: u32,
     pub model: ::std::string::String,
     pub prompt: ::std::string::String,
     pub resume: ::std::vec::Vec<::std::string::String>,
     pub seed: u64,
     pub segments: ::std::vec::Vec<Segment>,
+    #[doc = "Milliseconds from the first token after which a partial answer is wanted; 0 for never."]
+    pub slice_ms: u64,
     pub tenant: ::std::string::String,
+    #[doc = "Whether it goes before other rollout work."]
+    pub urgent: bool,
+    #[doc = "Oldest weight version that may make it, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
@@ -909,8 +955,17 @@
     #[serde(rename = "counters")]
     Counters {
         counts: ::std::vec::Vec<UsageCount>,
+        #[doc = "The log holds the last counts of this incarnation for all windows before this one."]
+        from: u64,
         incarnation: ::std::string::String,
+        #[doc = "Requests not yet counted, in place of earlier ones."]
+        open: ::std::vec::Vec<UsageOpen>,
+        #[doc = "Counts the incarnation's records."]
+        seq: u64,
     },
+    #[doc = "snapshot\n\nThe fold of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot { state: UsageSnapshot, upto: u64 },
     #[doc = "close\n\nCloses a window. The first one in log order counts; its offset is the cut."]
     #[serde(rename = "close")]
     Close { window: u64 },
@@ -924,9 +979,22 @@
     pub amount: u64,
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
-    #[doc = "Window number: Unix seconds divided by the window's length."]
+    #[doc = "Start of the window in Unix seconds, a multiple of the window's length."]
     pub window: u64,
 }
+#[doc = "What the fold keeps of one incarnation."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageIncarnation {
+    pub counts: ::std::vec::Vec<UsageCount>,
+    pub from: u64,
+    pub incarnation: ::std::string::String,
+    #[doc = "The latest window counted in."]
+    pub last: u64,
+    pub open: ::std::vec::Vec<UsageOpen>,
+    pub seq: u64,
+    #[doc = "Offset of its last record."]
+    pub touched: u64,
+}
 #[doc = "One tenant's figure. `late` holds what earlier windows missed."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageLine {
@@ -935,6 +1003,13 @@
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
 }
+#[doc = "Requests of a tenant that run and are not yet counted, with the most tokens they may make."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageOpen {
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "One record of the usage stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageRecord {
@@ -947,6 +1022,41 @@
     pub lines: ::std::vec::Vec<UsageLine>,
     pub window: u64,
 }
+#[doc = "The state of the usage fold."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageSnapshot {
+    #[doc = "The windows closed last, oldest first."]
+    pub closings: ::std::vec::Vec<u64>,
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    pub incarnations: ::std::vec::Vec<UsageIncarnation>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Closed windows."]
+    pub unreported: ::std::vec::Vec<UsageReport>,
+    #[doc = "Figures of open windows."]
+    pub windows: ::std::vec::Vec<UsageReport>,
+}
+#[doc = "Answer of the operators' usage call."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageStatus {
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Offset up to which the log is folded."]
+    pub next: u64,
+    pub uncertain: ::std::vec::Vec<UsageUncertain>,
+    pub windows: ::std::vec::Vec<UsageWindow>,
+}
+#[doc = "Requests that an incarnation last said to run, and has not counted since."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageUncertain {
+    pub incarnation: ::std::string::String,
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "What is counted."]
 #[derive(
     :: serde :: Deserialize,
@@ -1002,6 +1112,68 @@
         value.parse()
     }
 }
+#[doc = "One usage window as operators see it."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageWindow {
+    pub lines: ::std::vec::Vec<UsageLine>,
+    pub state: UsageWindowState,
+    pub window: u64,
+}
+#[doc = "State of a usage window."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum UsageWindowState {
+    #[serde(rename = "open")]
+    Open,
+    #[serde(rename = "closed")]
+    Closed,
+    #[serde(rename = "reported")]
+    Reported,
+}
+impl ::std::fmt::Display for UsageWindowState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Open => f.write_str("open"),
+            Self::Closed => f.write_str("closed"),
+            Self::Reported => f.write_str("reported"),
+        }
+    }
+}
+impl ::std::str::FromStr for UsageWindowState {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "open" => Ok(Self::Open),
+            "closed" => Ok(Self::Closed),
+            "reported" => Ok(Self::Reported),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "What the fold made of a configuration record."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
