--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -46,6 +46,7 @@
     if args.check {
         return Ok(());
     }
+    crate::failpoint::setup();
     telemetry::init_log(settings.log_format, settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.threads)
--- a/src/control/usage/duty.rs
+++ b/src/control/usage/duty.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::edge::Stream;
+use crate::failpoint;
 use crate::log::{Backoff, UsageFold};
 use crate::util::{random_id, unix_ms};
 use crate::wire::{Role, UsageBody, UsageRecord, UsageReport};
@@ -52,6 +53,7 @@
             let Some(window) = self.close_due() else {
                 continue;
             };
+            failpoint::reach("usage-before-close").await;
             if self.append(UsageBody::Close { window }).await {
                 spdlog::info!("usage window closed", kv: { window });
                 backoff.reset();
@@ -75,6 +77,7 @@
             let window = report.window;
             let is_sent = confirmed == Some(window) || self.send(report).await;
             if is_sent {
+                failpoint::reach("usage-after-report").await;
                 confirmed = Some(window);
             }
             if is_sent && self.append(UsageBody::Reported { window }).await {
@@ -95,6 +98,7 @@
             return false;
         };
         let window = report.window;
+        failpoint::reach("usage-before-report").await;
         match self.sink.report(report, lease.held).await {
             Ok(()) => {
                 let length = self.config.state().manifest.window;
@@ -146,6 +150,7 @@
         let mut next = self.next.subscribe();
         match self.log.append(Stream::Usage, text).await {
             Ok(offset) => {
+                failpoint::reach("usage-after-append").await;
                 let folded = next.wait_for(|next| *next > offset);
                 tokio::time::timeout(READ_BACK, folded).await.is_ok()
             }
--- a/src/entry/usage/append.rs
+++ b/src/entry/usage/append.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{Counter, Meter};
 
 use crate::edge::{Log, Stream};
+use crate::failpoint;
 use crate::log::Backoff;
 use crate::util::{jittered, unix_ms};
 use crate::wire::UsageOpen;
@@ -105,12 +106,14 @@
         return true;
     };
     let bytes = text.len() as u64;
+    failpoint::reach("usage-before-counters").await;
     let metrics = &entry.usage_metrics;
     if let Err(error) = entry.log.append(Stream::Usage, text).await {
         metrics.failures.add(1, &[]);
         spdlog::warn!("usage append failed", kv: { error = error.to_string() });
         return false;
     }
+    failpoint::reach("usage-after-counters").await;
     metrics.records.add(1, &[]);
     metrics.bytes.add(bytes, &[]);
     entry.usage.confirm(&batch);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod control;
 pub mod edge;
 pub mod entry;
+pub mod failpoint;
 pub mod http;
 pub mod lease;
 pub mod log;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -44,6 +44,15 @@
     pub model: String,
 }
 
+/// A report as the usage interface got it.
+#[derive(Clone, Debug)]
+pub struct Reported {
+    /// The instance that sent it.
+    pub instance: String,
+    /// The body, byte for byte.
+    pub body: String,
+}
+
 /// The platform.
 #[derive(Debug)]
 pub struct Platform {
@@ -54,7 +63,7 @@
     /// The instance list.
     pub instances: Mutex<Vec<Instance>>,
     /// Reports that the usage interface got, in order.
-    pub reports: Mutex<Vec<UsageReport>>,
+    pub reports: Mutex<Vec<Reported>>,
     /// The faults in force.
     pub faults: FaultTable,
 }
@@ -118,6 +127,11 @@
             "seen" => Ok(json(&self.fleet.record.seen())),
             "runs" => Ok(json(&self.fleet.record.runs())),
             "generated" => Ok(json(&self.fleet.generated())),
+            "reporters" => {
+                let reports = self.reports.lock();
+                let names: Vec<&str> = reports.iter().map(|report| &*report.instance).collect();
+                Ok(json(&names))
+            }
             "orders" => Ok(json(&self.fleet.orders())),
             _ => Ok(whole(StatusCode::NOT_FOUND, "no such page")),
         }
@@ -187,11 +201,16 @@
     async fn usage_call(&self, call: Call<'_>) -> Answer {
         self.faults.before(Interface::Usage, call.instance).await?;
         if !call.post {
-            return Ok(json(&*self.reports.lock()));
+            let reports = self.reports.lock();
+            let bodies: Vec<&str> = reports.iter().map(|report| &*report.body).collect();
+            let list = format!("[{}]", bodies.join(","));
+            return Ok(whole(StatusCode::OK, list));
         }
-        match serde_json::from_str(&call.body) {
-            Ok(report) => {
-                self.reports.lock().push(report);
+        match serde_json::from_str::<UsageReport>(&call.body) {
+            Ok(_) => {
+                let instance = call.instance.unwrap_or_default().to_owned();
+                let body = call.body;
+                self.reports.lock().push(Reported { instance, body });
                 self.faults.after(Interface::Usage, call.instance)?;
                 Ok(json(&()))
             }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -6,4 +6,5 @@
 mod leak;
 mod path;
 mod stop;
+mod usage;
 mod workdir;
--- /dev/null
+++ b/tests/suite/usage.rs
@@ -0,0 +1,359 @@
+//! Usage windows under faults: one figure for each window, and every token counted.
+
+use std::process::Command;
+use std::time::Duration;
+
+use basillead::wire::{LogPage, UsageReport, UsageStatus, UsageUncertain, UsageUnit};
+use http::{Method, StatusCode};
+
+use crate::workdir::{MANIFEST, Process, Workdir, show, wait_until, wait_within};
+
+/// Servers of the tests' platform.
+const SERVERS: [&str; 4] = [
+    "--server",
+    "engines:engine:z0:2",
+    "--server",
+    "desk:service:z0:1",
+];
+/// Longest wait for a takeover after the holder is gone, and for its reports.
+const TAKEOVER: Duration = Duration::from_secs(30);
+
+/// Entries and control daemons that share a platform, with windows of two seconds.
+struct Cluster<'d> {
+    dir: &'d Workdir,
+    _platform: Process,
+    controls: Vec<Process>,
+    entries: Vec<Process>,
+    key: String,
+}
+
+impl<'d> Cluster<'d> {
+    fn start(dir: &'d Workdir, count: usize, failpoints: &str) -> Self {
+        let platform = dir.platform(count, 1, &SERVERS);
+        let start = |n| control(dir, n, failpoints);
+        let controls = (0..count).map(start).collect();
+        let entries = (0..count).map(|n| entry(dir, n, "")).collect();
+        dir.publish(&format!("{MANIFEST}\n[usage]\nwindow_s = 2\n"));
+        let key = dir.grant("desk");
+        let cluster = Self {
+            dir,
+            _platform: platform,
+            controls,
+            entries,
+            key,
+        };
+        for n in 0..count {
+            wait_until("an entry answers", || cluster.complete(n, 1));
+        }
+        cluster
+    }
+
+    /// Asks entry `n` for an answer of `tokens` tokens.
+    fn complete(&self, n: usize, tokens: u32) -> bool {
+        let url = format!("{}/v1/completions", self.dir.entry_url(n));
+        let body = format!(r#"{{"model":"stroke-1","prompt":"a b c","max_tokens":{tokens}}}"#);
+        let answer = self
+            .dir
+            .call(Method::POST, &url, Some(&self.key), &[], &body);
+        answer.is_some_and(|answer| answer.status() == StatusCode::OK)
+    }
+
+    /// Asks every entry for answers, over about `windows` windows.
+    fn load(&self, windows: u32) {
+        for _ in 0..windows * 4 {
+            for n in 0..self.entries.len() {
+                wait_until("an answer", || self.complete(n, 10));
+            }
+            std::thread::sleep(Duration::from_millis(400));
+        }
+    }
+
+    fn generated(&self) -> u64 {
+        self.dir.platform_get("generated")
+    }
+
+    /// What the usage interface got, in order.
+    fn reports(&self) -> Vec<UsageReport> {
+        self.dir.platform_get("usage")
+    }
+
+    /// Tokens made, over all windows that were reported.
+    fn reported(&self) -> u64 {
+        let mut reports = self.reports();
+        reports.dedup_by_key(|report| report.window);
+        let lines = reports.iter().flat_map(|report| &report.lines);
+        let made = lines.filter(|line| line.unit == UsageUnit::TokensOut);
+        made.map(|line| line.amount + line.late).sum()
+    }
+
+    /// Waits until every token is reported, then checks the usage interface's record.
+    fn expect_all_reported(&self) {
+        let generated = self.generated();
+        assert!(generated > 0);
+        let is_whole = || self.reported() == generated;
+        wait_within("all tokens reported", TAKEOVER, is_whole);
+        self.check_reports();
+    }
+
+    /// No window has two figures, windows are in order, and a replay gives the same bytes.
+    fn check_reports(&self) {
+        let reports = self.reports();
+        let url = format!("{}/usage", self.dir.platform_url());
+        let raw = self.dir.get(&url).expect("the platform answers");
+        let mut canonical = Vec::new();
+        for report in &reports {
+            canonical.push(serde_json::to_string(report).expect("JSON"));
+        }
+        let list = format!("[{}]", canonical.join(","));
+        assert_eq!(raw.body(), list.as_bytes(), "not the bytes of the type");
+        let replayed = self.replay();
+        for pair in reports.windows(2) {
+            assert!(pair[0].window <= pair[1].window, "out of order: {pair:?}");
+        }
+        for (report, text) in reports.iter().zip(&canonical) {
+            let prefix = format!("\"window\":{}}}", report.window);
+            let same = replayed.iter().filter(|line| line.ends_with(&prefix));
+            let same: Vec<&String> = same.collect();
+            assert_eq!(same, [text], "window {}", report.window);
+        }
+    }
+
+    /// The reports as a replay of the log gives them.
+    fn replay(&self) -> Vec<String> {
+        let log = format!("{}/log", self.dir.platform_url());
+        let output = Command::new(env!("CARGO_BIN_EXE_basillead"))
+            .args(["replay", "--json", "--log", &log])
+            .output()
+            .expect("the command line runs");
+        assert!(output.status.success(), "{}", show(&output));
+        let text = String::from_utf8(output.stdout).expect("UTF-8");
+        text.lines().map(str::to_owned).collect()
+    }
+
+    /// Requests that some incarnation last said to run.
+    fn uncertain(&self) -> Vec<UsageUncertain> {
+        let page: LogPage = self.dir.platform_get("log/usage");
+        let mut reader = basillead::log::UsageReader::default();
+        reader.take(&page);
+        reader.fold().status(u64::MAX).uncertain
+    }
+
+    fn set_faults(&self, interface: &str, instance: Option<&str>, faults: &serde_json::Value) {
+        let set = serde_json::json!({
+            "interface": interface, "instance": instance, "faults": faults,
+        });
+        self.dir.platform_post("fault", &set);
+    }
+
+    /// The control daemon that sent the last report.
+    fn reporter(&self) -> Option<usize> {
+        self.reporters().last().copied()
+    }
+
+    fn reporters(&self) -> Vec<usize> {
+        let names: Vec<String> = self.dir.platform_get("reporters");
+        let number = |name: &String| name[1..].parse().expect("an instance's number");
+        names.iter().map(number).collect()
+    }
+}
+
+fn daemon(dir: &Workdir, program: &str, name: &str, n: usize, failpoints: &str) -> Process {
+    let settings = dir.settings(n, 1);
+    let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
+    dir.spawn_failing(program, &args, name, failpoints)
+}
+
+fn control(dir: &Workdir, n: usize, failpoints: &str) -> Process {
+    let program = env!("CARGO_BIN_EXE_basillead-control");
+    let process = daemon(dir, program, &format!("control{n}"), n, failpoints);
+    dir.wait_http(&format!("{}/healthz", dir.control_url(n)));
+    process
+}
+
+fn entry(dir: &Workdir, n: usize, failpoints: &str) -> Process {
+    let program = env!("CARGO_BIN_EXE_basillead-entry");
+    let process = daemon(dir, program, &format!("entry{n}"), n, failpoints);
+    dir.wait_http(&format!("{}/healthz", dir.entry_url(n)));
+    process
+}
+
+#[test]
+fn usage_reports_every_token() {
+    let dir = Workdir::new("usage");
+    let cluster = Cluster::start(&dir, 2, "");
+    cluster.load(2);
+    cluster.expect_all_reported();
+    let output = dir.basillead(&["usage", "--json"]);
+    let status: UsageStatus = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert!(status.late.is_empty() && status.expired.is_empty() && status.uncertain.is_empty());
+    let first = cluster.reports()[0].window.to_string();
+    assert!(
+        show(&dir.basillead(&["usage"])).contains(&format!("{first} reported desk tokens_out"))
+    );
+}
+
+/// Kills the holder at a step, then its successor at the same step; both start again.
+fn control_killed_at(step: &str) {
+    let dir = Workdir::new("usage");
+    let failpoint = format!("{step}=1*return(abort)");
+    let mut cluster = Cluster::start(&dir, 2, &failpoint);
+    wait_within("both are killed", TAKEOVER + TAKEOVER, || {
+        assert!(cluster.complete(0, 5));
+        let mut controls = cluster.controls.iter_mut();
+        controls.all(|control| control.0.try_wait().expect("a child").is_some())
+    });
+    cluster.controls = (0..2).map(|n| control(&dir, n, "")).collect();
+    cluster.load(1);
+    cluster.expect_all_reported();
+}
+
+#[test]
+fn usage_control_killed_before_close() {
+    control_killed_at("usage-before-close");
+}
+
+#[test]
+fn usage_control_killed_after_append() {
+    control_killed_at("usage-after-append");
+}
+
+#[test]
+fn usage_control_killed_before_report() {
+    control_killed_at("usage-before-report");
+}
+
+#[test]
+fn usage_control_killed_after_report() {
+    control_killed_at("usage-after-report");
+}
+
+#[test]
+fn usage_holder_frozen_before_report() {
+    let dir = Workdir::new("usage");
+    let cluster = Cluster::start(&dir, 2, "usage-before-report=2*off->1*return(pause 500)");
+    let mut holder = None;
+    wait_until("a holder is about to report", || {
+        assert!(cluster.complete(0, 5));
+        let paused = |n: &usize| dir.log(&format!("control{n}")).contains("failpoint");
+        holder = (0..2).find(paused);
+        holder.is_some()
+    });
+    let holder = holder.expect("a holder");
+    cluster.controls[holder].signal("STOP");
+    let successor = 1 - holder;
+    wait_within("the successor reports", TAKEOVER, || {
+        assert!(cluster.complete(0, 5));
+        cluster.reporter() == Some(successor)
+    });
+    cluster.controls[holder].signal("CONT");
+    cluster.load(4);
+    cluster.expect_all_reported();
+    let reporters = cluster.reporters();
+    let first = reporters.iter().position(|n| *n == successor);
+    let after = &reporters[first.expect("the successor reported")..];
+    assert!(
+        !after.contains(&holder),
+        "reports interleave: {reporters:?}"
+    );
+}
+
+#[test]
+fn usage_answers_lost() {
+    let dir = Workdir::new("usage");
+    let cluster = Cluster::start(&dir, 2, "");
+    for _ in 0..3 {
+        let lost = serde_json::json!({"lose_answers": 4});
+        cluster.set_faults("log", None, &lost);
+        cluster.set_faults("usage", None, &lost);
+        cluster.load(1);
+    }
+    cluster.expect_all_reported();
+    let windows: Vec<u64> = cluster
+        .reports()
+        .iter()
+        .map(|report| report.window)
+        .collect();
+    let mut distinct = windows.clone();
+    distinct.dedup();
+    assert!(distinct.len() < windows.len(), "no report was repeated");
+}
+
+#[test]
+fn usage_log_late_then_down() {
+    let dir = Workdir::new("usage");
+    let cluster = Cluster::start(&dir, 2, "");
+    let faults = [
+        (serde_json::json!({"late_ms": 2_500}), 2),
+        (serde_json::json!({"down": true}), 4),
+    ];
+    for (fault, windows) in faults {
+        cluster.set_faults("log", None, &fault);
+        for _ in 0..windows * 4 {
+            // Entries may refuse while they cannot show that they are fresh.
+            for n in 0..2 {
+                let _ = cluster.complete(n, 10);
+            }
+            std::thread::sleep(Duration::from_millis(400));
+        }
+        cluster.set_faults("log", None, &serde_json::json!({}));
+        cluster.load(1);
+    }
+    cluster.expect_all_reported();
+}
+
+#[test]
+fn usage_entry_killed_after_append() {
+    let dir = Workdir::new("usage");
+    let mut cluster = Cluster::start(&dir, 2, "");
+    // Its counters are in the log, but it does not know.
+    let killed = "usage-after-counters=2*off->1*return(abort)";
+    cluster.entries[0].signal("TERM");
+    assert!(cluster.entries[0].wait(TAKEOVER).success());
+    cluster.entries[0] = entry(&dir, 0, killed);
+    wait_until("the entry is killed", || {
+        cluster.complete(0, 10);
+        // No request runs while its counters are appended.
+        std::thread::sleep(Duration::from_millis(1_500));
+        cluster.entries[0].0.try_wait().expect("a child").is_some()
+    });
+    cluster.entries[0] = entry(&dir, 0, "");
+    cluster.load(1);
+    cluster.expect_all_reported();
+}
+
+#[test]
+fn usage_entry_killed_midstream() {
+    const TOKENS: u32 = 3_000;
+    let dir = Workdir::new("usage");
+    let mut cluster = Cluster::start(&dir, 2, "");
+    let counted = cluster.generated();
+    std::thread::scope(|scope| {
+        let stream = scope.spawn(|| cluster.complete(0, TOKENS));
+        // Longer than the longest time between two records.
+        std::thread::sleep(Duration::from_secs(3));
+        cluster.entries[0].signal("KILL");
+        assert!(!stream.join().expect("a thread"));
+    });
+    let mut made = 0;
+    wait_until("the engine has stopped", || {
+        let before = std::mem::replace(&mut made, cluster.generated());
+        std::thread::sleep(Duration::from_millis(500));
+        before == made
+    });
+    let lost = made - counted;
+    cluster.entries[0] = entry(&dir, 0, "");
+    wait_within("the rest reported", TAKEOVER, || {
+        cluster.reported() == counted
+    });
+    cluster.check_reports();
+    let uncertain = cluster.uncertain();
+    assert_eq!(uncertain.len(), 1, "{uncertain:?}");
+    assert_eq!(
+        (uncertain[0].requests, uncertain[0].tokens),
+        (1, u64::from(TOKENS))
+    );
+    assert!(
+        lost > 0 && lost <= uncertain[0].tokens,
+        "{lost} of {uncertain:?}"
+    );
+}
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -221,6 +221,17 @@
 
     /// Starts a program; what it writes to standard error goes to `NAME.log`.
     pub fn spawn(&self, program: &str, args: &[&str], name: &str) -> Process {
+        self.spawn_failing(program, args, name, "")
+    }
+
+    /// Starts a program with failpoints set up, as in `FAILPOINTS`.
+    pub fn spawn_failing(
+        &self,
+        program: &str,
+        args: &[&str],
+        name: &str,
+        failpoints: &str,
+    ) -> Process {
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -228,6 +239,7 @@
             .expect("a log file");
         let child = Command::new(program)
             .args(args)
+            .env("FAILPOINTS", failpoints)
             .current_dir(self.dir.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
