Bind calls that must not repeat to one entry's run

The key begins with the incarnation that alone may run it; other entries ask that run over the peers' link and relay its one answer. Where it cannot be asked the outcome is unknown, also for an incarnation nobody knows: it cannot be told from one that ran the key and died. Only a key that begins as no incarnation does is refused as not run.

Ruled out: forgetting old keys when memory is short.

--- a/src/entry/enter.rs
+++ b/src/entry/enter.rs
@@ -13,7 +13,7 @@
 use super::fair::{Ask, Class};
 
 /// Header in which a caller states how long it waits.
-const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+pub(super) const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 /// Bytes of a prompt that take an engine as long as one token of an answer.
 const PROMPT_BYTES_A_TOKEN: f64 = 64.0;
 /// Time between two looks at what bounds the queues.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod leak;
 mod limit;
 mod metrics;
+mod once;
 mod others;
 mod path;
 mod plain;
@@ -57,6 +58,7 @@
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
     drain: Arc<Drain>,
+    once: once::OnceTable,
     hold: drain::HoldBound,
     servers: ServerTable,
     log: Arc<HttpLog>,
@@ -97,6 +99,7 @@
             config,
             peers,
             drain: Arc::default(),
+            once: once::OnceTable::default(),
             hold: drain::HoldBound::default(),
             log,
             servers: ServerTable::new(Arc::new(servers)),
@@ -121,6 +124,7 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        once::serve_asks(&entry);
         entry.peers.run().await?;
         tokio::spawn(drain::follow_hold(Arc::clone(&entry)));
         tokio::spawn(usage::follow(Arc::clone(&entry)));
--- /dev/null
+++ b/src/entry/once/ask.rs
@@ -0,0 +1,187 @@
+//! Asks the entry that a key is bound to, and answers such questions of others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+
+use crate::http::{Refusal, RefusalKind};
+use crate::manifest::RouteSpec;
+use crate::peer::{CallError, Link};
+use crate::wire::{Header, OnceAnswer, OnceRequest, PeerMessage};
+
+use super::super::Entry;
+use super::super::auth::Caller;
+use super::super::plain::{PlainAnswer, PlainCall};
+use super::super::{enter, leak};
+use super::{OnceKey, run_here};
+
+/// Time beyond the route's own within which the owner must answer.
+const ANSWER_MARGIN: Duration = Duration::from_secs(2);
+
+/// Asks the key's owner and gives its answer.
+pub(super) async fn ask(
+    entry: &Arc<Entry>,
+    route: &RouteSpec,
+    caller: Option<&Caller>,
+    key: &OnceKey,
+    call: &PlainCall,
+) -> Result<PlainAnswer, Refusal> {
+    let request = OnceRequest {
+        body: STANDARD.encode(&call.body),
+        headers: to_wire(&passed(&call.headers)),
+        key: caller.map(|caller| caller.digest.to_string()),
+        method: call.method.to_string(),
+        path: call.target.clone(),
+        tenant: caller.map_or_else(String::new, |caller| caller.tenant.to_string()),
+    };
+    let id = key.id.clone();
+    let message = move |call| PeerMessage::OnceAsk {
+        call,
+        key: id,
+        request,
+    };
+    let limit = Duration::from_millis(route.timeout) + ANSWER_MARGIN;
+    let asked = entry.peers.call(&key.owner, message);
+    let answer = tokio::time::timeout(limit, asked).await;
+    let answer = answer.unwrap_or(Err(CallError::Lost));
+    answer
+        .ok()
+        .and_then(|answer| from_wire(&answer))
+        .ok_or_else(unknown)
+}
+
+/// The refusal when the owner cannot be asked.
+///
+/// It may have run the key before, whether or not the question reached it now.
+fn unknown() -> Refusal {
+    let detail = "the entry that this idempotency key is bound to cannot be asked";
+    Refusal::unknown(RefusalKind::OutcomeUnknown, detail)
+}
+
+/// Headers that the owner needs: those for the service, and the caller's time limit.
+fn passed(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = leak::allowed_headers(headers);
+    if let Some(limit) = headers.get(enter::TIMEOUT_HEADER) {
+        passed.insert(enter::TIMEOUT_HEADER, limit.clone());
+    }
+    passed
+}
+
+/// Answers from now on the questions of other entries, and reports the keys known.
+pub(in crate::entry) fn serve_asks(entry: &Arc<Entry>) {
+    let counted = Arc::downgrade(entry);
+    let _ = entry
+        .metrics
+        .meter()
+        .u64_observable_gauge("basillead_once_keys")
+        .with_description("Idempotency keys that this entry runs, or ran and remembers.")
+        .with_callback(move |gauge| {
+            if let Some(entry) = counted.upgrade() {
+                gauge.observe(entry.once.len() as u64, &[]);
+            }
+        })
+        .build();
+    let asked = Arc::downgrade(entry);
+    entry.peers.on_message(move |link, message| {
+        let PeerMessage::OnceAsk { call, key, request } = message else {
+            return;
+        };
+        let Some(entry) = asked.upgrade() else {
+            return;
+        };
+        let (link, call) = (Arc::clone(link), *call);
+        let (key, request) = (key.clone(), request.clone());
+        tokio::spawn(async move { answer(&entry, &link, call, &key, request).await });
+    });
+}
+
+async fn answer(entry: &Arc<Entry>, link: &Link, call: u64, id: &str, request: OnceRequest) {
+    let answered = run_asked(entry, id, request).await;
+    let answer = match answered {
+        Ok(answer) => answer,
+        Err(refusal) => refused(&refusal),
+    };
+    if !link.send(PeerMessage::OnceAnswer { answer, call }) {
+        spdlog::warn!("answer to a peer lost", kv: { peer = link.peer.instance.as_str() });
+    }
+}
+
+async fn run_asked(
+    entry: &Arc<Entry>,
+    id: &str,
+    request: OnceRequest,
+) -> Result<OnceAnswer, Refusal> {
+    let malformed = || Refusal::not_run(RefusalKind::Malformed, "a peer's malformed request");
+    let call = PlainCall {
+        method: Method::from_bytes(request.method.as_bytes()).map_err(|_| malformed())?,
+        headers: headers(&request.headers).ok_or_else(malformed)?,
+        body: STANDARD
+            .decode(&request.body)
+            .map_err(|_| malformed())?
+            .into(),
+        target: request.path,
+    };
+    let state = entry.config.state();
+    let path = call.target.split('?').next().unwrap_or_default();
+    let Some(route) = state.manifest.route(path).cloned() else {
+        // The asker has a newer configuration, or this entry has; an earlier run stays known.
+        let detail = format!("no route for {path} at the entry that the key is bound to");
+        return Err(Refusal::unknown(RefusalKind::OutcomeUnknown, detail));
+    };
+    let caller = request.key.map(|key| Caller {
+        tenant: request.tenant.into(),
+        digest: key.into(),
+    });
+    let answer = run_here(entry, route, caller, id, call).await?;
+    Ok(OnceAnswer {
+        body: STANDARD.encode(&answer.body),
+        headers: to_wire(&answer.headers),
+        status: answer.status.as_u16(),
+    })
+}
+
+/// A refusal as an answer to a peer.
+fn refused(refusal: &Refusal) -> OnceAnswer {
+    let problem = serde_json::to_vec(&refusal.problem()).unwrap_or_default();
+    let kind = HeaderValue::from_static("application/problem+json");
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, kind);
+    if let Some(seconds) = refusal.retry {
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    OnceAnswer {
+        body: STANDARD.encode(problem),
+        headers: to_wire(&headers),
+        status: refusal.kind.status().as_u16(),
+    }
+}
+
+fn from_wire(answer: &OnceAnswer) -> Option<PlainAnswer> {
+    Some(PlainAnswer {
+        status: StatusCode::from_u16(answer.status).ok()?,
+        headers: headers(&answer.headers)?,
+        body: Bytes::from(STANDARD.decode(&answer.body).ok()?),
+    })
+}
+
+fn to_wire(headers: &HeaderMap) -> Vec<Header> {
+    let one = |(name, value): (&HeaderName, &HeaderValue)| Header {
+        name: name.to_string(),
+        value: STANDARD.encode(value.as_bytes()),
+    };
+    headers.iter().map(one).collect()
+}
+
+fn headers(wire: &[Header]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    for header in wire {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        let value = STANDARD.decode(&header.value).ok()?;
+        headers.append(name, HeaderValue::from_bytes(&value).ok()?);
+    }
+    Some(headers)
+}
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -8,14 +8,17 @@
 
 use crate::http::{ClientError, Refusal, RefusalKind, Response, whole};
 use crate::manifest::RouteSpec;
-use crate::names::{ServerId, Tenant};
+use crate::names::ServerId;
 use crate::util::unix_ms;
-use crate::wire::UsageUnit;
+use crate::wire::{Run, UsageUnit};
 
 use super::Entry;
+use super::auth::Caller;
 use super::enter::{self, Arrival};
 use super::fair::Class;
+use super::fresh;
 use super::leak;
+use super::once::{self, OnceKey};
 use super::servers::Need;
 
 /// Cost of a call, which has no tokens.
@@ -70,22 +73,53 @@
 pub(super) async fn relay(
     entry: &Arc<Entry>,
     route: &RouteSpec,
-    tenant: Option<&Tenant>,
+    caller: Option<Caller>,
     call: PlainCall,
 ) -> Result<Response, Refusal> {
     leak::refuse_key("path", call.target.as_bytes())?;
     leak::refuse_key("body", &call.body)?;
-    if call.headers.contains_key(IDEMPOTENCY_KEY) && !may_repeat(route, &call.method) {
-        let detail = "the idempotency key names no known entry";
-        return Err(Refusal::not_run(RefusalKind::KeyUnbound, detail));
+    let key = if may_repeat(route, &call.method) {
+        None
+    } else {
+        once_key(&call.headers)?
+    };
+    let valid = caller.as_ref().map(|caller| caller.digest.clone());
+    let work = async {
+        match key {
+            Some(key) => once::relay(entry, route, caller, key, call).await,
+            None => run(entry, route, caller.as_ref(), &call).await,
+        }
+    };
+    let answer = match valid {
+        Some(key) => {
+            fresh::check_key(entry, &key)?;
+            fresh::while_valid(entry, &key, Run::Unknown, work).await?
+        }
+        None => work.await,
+    };
+    Ok(answer?.into_response())
+}
+
+/// The idempotency key of a call.
+fn once_key(headers: &HeaderMap) -> Result<Option<OnceKey>, Refusal> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        let detail = "more than one idempotency key";
+        return Err(Refusal::not_run(RefusalKind::Malformed, detail));
     }
-    let answer = run(entry, route, tenant, &call).await?;
-    if let Some(tenant) = tenant {
+    OnceKey::parse(value.to_str().unwrap_or_default()).map(Some)
+}
+
+/// Counts a call that ran.
+fn count(entry: &Entry, caller: Option<&Caller>) {
+    if let Some(caller) = caller {
         let window = entry.config.state().manifest.window;
         let amounts = [(UsageUnit::Requests, 1)];
-        entry.usage.add(unix_ms(), window, tenant, &amounts);
+        entry.usage.add(unix_ms(), window, &caller.tenant, &amounts);
     }
-    Ok(answer.into_response())
 }
 
 /// Whether a call may run more than once.
@@ -97,13 +131,13 @@
 pub(super) async fn run(
     entry: &Arc<Entry>,
     route: &RouteSpec,
-    tenant: Option<&Tenant>,
+    caller: Option<&Caller>,
     call: &PlainCall,
 ) -> Result<PlainAnswer, Refusal> {
     let deadline = enter::deadline(&call.headers, route.timeout, Instant::now())?;
     let arrival = Arrival {
         pool: &route.pool,
-        tenant,
+        tenant: caller.map(|caller| &caller.tenant),
         class: Class::Live,
         cost: CALL_COST,
         limited: false,
@@ -111,6 +145,9 @@
     };
     let mut entered = enter::enter(entry, arrival).await?;
     entered.settle(CALL_COST);
+    if let Some(caller) = caller {
+        fresh::check_key(entry, &caller.digest)?;
+    }
     let repeat = may_repeat(route, &call.method);
     let mut avoid: Vec<ServerId> = Vec::new();
     let mut sent = false;
@@ -126,7 +163,10 @@
         };
         let tried = attempt(entry, &inflight.server.address, call, repeat, deadline).await;
         let error = match tried {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                count(entry, caller);
+                return Ok(answer);
+            }
             Err(error) => error,
         };
         entry.servers.suspect(&inflight.server, Instant::now());
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -182,8 +182,7 @@
         headers: head.headers.clone(),
         body: take_body(&state, body).await?,
     };
-    let tenant = caller.as_ref().map(|caller| &caller.tenant);
-    plain::relay(entry, route, tenant, call).await
+    plain::relay(entry, route, caller, call).await
 }
 
 async fn take_body(state: &ConfigState, body: &mut RequestBody) -> Result<Bytes, Refusal> {
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -41,7 +41,7 @@
         let peers = Arc::clone(&peers);
         tokio::spawn(async move {
             let error = match socket::accept(stream, &peers.secret).await {
-                Ok(ws) => link::run(&peers, ws, opened).await,
+                Ok(ws) => link::run(&peers, ws, opened, None).await,
                 Err(error) => error,
             };
             log_end(&from.to_string(), "accepted", &error);
@@ -104,7 +104,7 @@
 async fn dial(peers: Arc<Peers>, target: Target) -> (String, LinkError) {
     let opened = Instant::now();
     let error = match socket::connect(&target.address, &peers.secret).await {
-        Ok(ws) => link::run(&peers, ws, opened).await,
+        Ok(ws) => link::run(&peers, ws, opened, None).await,
         Err(error) => error,
     };
     (target.name, error)
@@ -169,15 +169,15 @@
     let address = members::peer_address(peers, &digest);
     let opened = Instant::now();
     let ws = socket::connect(&address, &peers.secret).await.ok()?;
-    let (task, to_peer) = (Arc::clone(peers), address.clone());
-    tokio::spawn(async move {
-        let run = link::run(&task, ws, opened);
+    let (task, wanted) = (Arc::clone(peers), to.clone());
+    let running = tokio::spawn(async move {
+        let run = link::run(&task, ws, opened, Some(&wanted));
         if let Ok(error) = tokio::time::timeout(CALL_LINK, run).await {
-            log_end(&to_peer, "called", &error);
+            log_end(&address, "called", &error);
         }
     });
     let until = opened + CALL_OPEN;
-    while Instant::now() < until {
+    while Instant::now() < until && !running.is_finished() {
         if let Some(link) = peers.open_link(to) {
             return Some(link);
         }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -70,11 +70,22 @@
 }
 
 /// Runs a link from its handshake to its end. `opened` lies before the handshake.
-pub(super) async fn run(peers: &Arc<Peers>, mut ws: Socket, opened: Instant) -> LinkError {
+///
+/// A link to another incarnation than the one that is wanted, if any, ends at once.
+pub(super) async fn run(
+    peers: &Arc<Peers>,
+    mut ws: Socket,
+    opened: Instant,
+    wanted: Option<&Incarnation>,
+) -> LinkError {
     let peer = match greet(peers, &mut ws).await {
         Ok(peer) => peer,
         Err(error) => return error,
     };
+    if wanted.is_some_and(|wanted| *wanted != peer.incarnation) {
+        let what = "another incarnation";
+        return UnexpectedSnafu { what }.build();
+    }
     let (queue, queued) = mpsc::channel(QUEUE);
     let link = Arc::new(Link {
         peer,
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -39,6 +39,12 @@
     /// Milliseconds for one token.
     #[options(help = "milliseconds for one token of a lone request", default = "2")]
     pub token_ms: u64,
+    /// Milliseconds that a call of a plain service takes.
+    #[options(
+        help = "milliseconds that a call of a plain service takes",
+        default = "1"
+    )]
+    pub work_ms: u64,
     /// Model that engines hold.
     #[options(help = "model that engines hold when they start", default = "stroke-1")]
     pub model: String,
@@ -230,7 +236,7 @@
     };
     let mut pools = BTreeMap::new();
     for spec in &specs {
-        pools.insert(spec.pool.clone(), spec.standin(engine, &args.model));
+        pools.insert(spec.pool.clone(), spec.standin(engine, args));
     }
     let store = WeightStore::new(Duration::from_millis(200));
     let fleet = Fleet::new(listen.ip(), store, pools);
@@ -275,9 +281,9 @@
         })
     }
 
-    fn standin(&self, config: EngineConfig, model: &str) -> PoolStandin {
+    fn standin(&self, config: EngineConfig, args: &Args) -> PoolStandin {
         if self.is_engine {
-            let model = model.to_owned();
+            let model = args.model.clone();
             return PoolStandin::Engine {
                 config,
                 model,
@@ -285,7 +291,7 @@
             };
         }
         PoolStandin::Service {
-            work: Duration::from_millis(1),
+            work: Duration::from_millis(args.work_ms),
         }
     }
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -243,6 +243,7 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Header {
     pub name: ::std::string::String,
+    #[doc = "Base64 of the value."]
     pub value: ::std::string::String,
 }
 #[doc = "One instance of the platform's instance list."]
@@ -406,6 +407,9 @@
     #[doc = "Base64 of the body."]
     pub body: ::std::string::String,
     pub headers: ::std::vec::Vec<Header>,
+    #[doc = "Digest of the caller's key; none on open routes."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub key: ::std::option::Option<::std::string::String>,
     pub method: ::std::string::String,
     pub path: ::std::string::String,
     pub tenant: ::std::string::String,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,7 +3,9 @@
 
 mod bad_input;
 mod check;
+mod drain;
 mod leak;
+mod once;
 mod path;
 mod peers;
 mod stop;
--- /dev/null
+++ b/tests/suite/once.rs
@@ -0,0 +1,173 @@
+//! Calls that must not run twice, whichever entry gets their key and whatever dies.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{Method, Response, StatusCode};
+
+use crate::peers::{Cluster, wait_key};
+use crate::workdir::{Workdir, wait_within};
+
+/// What a caller learnt of one call.
+#[derive(Debug, PartialEq)]
+enum Learnt {
+    /// The service's answer, with its count of runs.
+    Ran(u64),
+    /// A refusal's kind and what it says of the run.
+    Refused(String, String),
+    /// No answer.
+    Nothing,
+}
+
+fn learnt(answer: Option<Response<bytes::Bytes>>) -> Learnt {
+    let Some(answer) = answer else {
+        return Learnt::Nothing;
+    };
+    let body: serde_json::Value = serde_json::from_slice(answer.body()).expect("JSON");
+    if answer.status() == StatusCode::OK {
+        return Learnt::Ran(body["run"].as_u64().expect("a count"));
+    }
+    let text = |name: &str| body[name].as_str().expect("a text").to_owned();
+    Learnt::Refused(text("title"), text("run"))
+}
+
+/// Calls `/orders` at entry `n` with an idempotency key.
+fn order(dir: &Workdir, n: usize, key: &str, once: &str, body: &str) -> Learnt {
+    let url = format!("{}/orders", dir.entry_url(n));
+    let headers = [("idempotency-key", once)];
+    learnt(dir.call(Method::POST, &url, Some(key), &headers, body))
+}
+
+/// The incarnation of entry `n`, as address answers name it.
+fn incarnation(dir: &Workdir, n: usize) -> String {
+    let mut found = None;
+    wait_within("the entry is named", Duration::from_secs(10), || {
+        let answer = dir.get(&format!("{}/v1/addresses", dir.entry_url(n)));
+        let addresses: serde_json::Value = answer
+            .filter(|answer| answer.status() == StatusCode::OK)
+            .map_or(serde_json::Value::Null, |answer| {
+                serde_json::from_slice(answer.body()).expect("JSON")
+            });
+        let url = dir.entry_url(n);
+        let list = addresses["addresses"].as_array();
+        let own = list.and_then(|list| list.iter().find(|one| one["url"] == url.as_str()));
+        found = own.map(|own| own["incarnation"].as_str().expect("a text").to_owned());
+        found.is_some()
+    });
+    found.expect("found")
+}
+
+fn runs(dir: &Workdir, body: &str) -> u64 {
+    let runs: BTreeMap<String, u64> = dir.platform_get("runs");
+    runs.get(body).copied().unwrap_or(0)
+}
+
+#[test]
+fn once_at_wrong_entries() {
+    let dir = Workdir::new("once");
+    let cluster = Cluster::start(&dir, 3, 3);
+    let key = cluster.key(&dir);
+    let owner = incarnation(&dir, 0);
+    let once = format!("{owner}.order-1");
+    for n in [1, 0, 2, 1] {
+        assert_eq!(order(&dir, n, &key, &once, "first"), Learnt::Ran(1));
+    }
+    assert_eq!(runs(&dir, "first"), 1);
+    let answer = order(&dir, 1, &key, &once, "other");
+    let refused = |kind: &str, run: &str| Learnt::Refused(kind.to_owned(), run.to_owned());
+    assert_eq!(answer, refused("key-reused", "not-run"));
+    let unbound = order(&dir, 1, &key, "order-1", "other");
+    assert_eq!(unbound, refused("key-unbound", "not-run"));
+    let unknown = order(&dir, 1, &key, "0123456789abcdef01234567.1", "other");
+    assert_eq!(unknown, refused("outcome-unknown", "unknown"));
+    assert_eq!(runs(&dir, "other"), 0);
+}
+
+#[test]
+fn once_at_two_entries_at_once() {
+    let dir = Arc::new(Workdir::new("both"));
+    let cluster = Cluster::start_with(&dir, 3, 3, &["--work-ms", "300"]);
+    let key = cluster.key(&dir);
+    let owner = incarnation(&dir, 0);
+    for round in 0..5 {
+        let once = format!("{owner}.order-{round}");
+        let body = format!("order {round}");
+        let callers: Vec<_> = [0, 1, 2, 1]
+            .into_iter()
+            .map(|n| {
+                let (dir, key) = (Arc::clone(&dir), key.clone());
+                let (once, body) = (once.clone(), body.clone());
+                std::thread::spawn(move || order(&dir, n, &key, &once, &body))
+            })
+            .collect();
+        for caller in callers {
+            assert_eq!(caller.join().expect("a caller"), Learnt::Ran(1));
+        }
+        assert_eq!(runs(&dir, &body), 1);
+    }
+}
+
+#[test]
+fn once_after_owner_is_killed() {
+    let dir = Arc::new(Workdir::new("killed"));
+    let mut cluster = Cluster::start_with(&dir, 3, 3, &["--work-ms", "400"]);
+    let key = cluster.key(&dir);
+    // Moments of the kill in milliseconds after the call: before, while and after it runs.
+    for (round, moment) in [0, 5, 50, 200, 395, 405, 600].into_iter().enumerate() {
+        let owner = incarnation(&dir, 0);
+        let once = format!("{owner}.order-{round}");
+        let body = format!("order {round}");
+        let calling = {
+            let (dir, key) = (Arc::clone(&dir), key.clone());
+            let (once, body) = (once.clone(), body.clone());
+            std::thread::spawn(move || {
+                let url = format!("{}/orders", dir.entry_url(0));
+                let headers = [("idempotency-key", once.as_str())];
+                dir.call(Method::POST, &url, Some(&key), &headers, &body)
+                    .map(drop)
+            })
+        };
+        std::thread::sleep(Duration::from_millis(moment));
+        cluster.kill_entry(0);
+        let mut said_not_run = false;
+        for n in [1, 2] {
+            match order(&dir, n, &key, &once, &body) {
+                Learnt::Refused(kind, run) => {
+                    assert_eq!(kind, "outcome-unknown");
+                    said_not_run |= run == "not-run";
+                }
+                other => panic!("after the owner's death: {other:?}"),
+            }
+        }
+        cluster.restart_entry(&dir, 0);
+        wait_key(&dir, 0, &key);
+        let again = order(&dir, 0, &key, &once, &body);
+        assert!(matches!(&again, Learnt::Refused(kind, _) if kind == "outcome-unknown"));
+        let _ = calling.join().expect("the caller");
+        let count = runs(&dir, &body);
+        assert!(count <= 1, "ran {count} times, killed after {moment} ms");
+        assert!(!(said_not_run && count > 0), "a false not-run");
+    }
+}
+
+#[test]
+fn once_outlives_its_caller() {
+    let dir = Workdir::new("caller");
+    let cluster = Cluster::start_with(&dir, 2, 2, &["--work-ms", "500"]);
+    let key = cluster.key(&dir);
+    let once = format!("{}.order", incarnation(&dir, 0));
+    let url = format!("{}/orders", dir.entry_url(0));
+    let request = http::Request::builder()
+        .method(Method::POST)
+        .uri(&url)
+        .header("authorization", format!("Bearer {key}"))
+        .header("idempotency-key", &once)
+        .body(bytes::Bytes::from("left"))
+        .expect("a request");
+    let limit = Duration::from_millis(150);
+    let left = dir.runtime.block_on(dir.client.fetch(request, limit));
+    assert!(left.is_err(), "the caller leaves before the answer");
+    assert_eq!(order(&dir, 1, &key, &once, "left"), Learnt::Ran(1));
+    assert_eq!(runs(&dir, "left"), 1);
+}
--- a/tests/suite/peers.rs
+++ b/tests/suite/peers.rs
@@ -2,35 +2,84 @@
 
 use std::time::Duration;
 
-use crate::workdir::{Process, SMALL_SERVERS, Workdir, wait_within};
+use http::{Method, StatusCode};
+
+use crate::workdir::{MANIFEST, OPERATOR_KEY, Process, SMALL_SERVERS, Workdir, wait_within};
 
 /// The stated target for what must hold "within seconds".
-const SECONDS: Duration = Duration::from_secs(5);
+pub const SECONDS: Duration = Duration::from_secs(5);
 
-/// Several instances before one platform.
-struct Cluster {
+/// Several instances before one platform, with the test manifest in force.
+pub struct Cluster {
     _platform: Process,
-    _daemons: Vec<Process>,
+    pub controls: Vec<Option<Process>>,
+    pub entries: Vec<Option<Process>>,
+    zones: usize,
 }
 
 impl Cluster {
-    fn start(dir: &Workdir, count: usize, zones: usize) -> Self {
-        let platform = dir.platform(count, zones, &SMALL_SERVERS);
-        let daemons = (0..count)
-            .flat_map(|n| [dir.control(n, zones), dir.entry(n, zones)])
-            .collect();
-        Self {
+    pub fn start(dir: &Workdir, count: usize, zones: usize) -> Self {
+        Self::start_with(dir, count, zones, &[])
+    }
+
+    /// Starts the platform with further arguments.
+    pub fn start_with(dir: &Workdir, count: usize, zones: usize, args: &[&str]) -> Self {
+        let args = [&SMALL_SERVERS[..], args].concat();
+        let platform = dir.platform(count, zones, &args);
+        let cluster = Self {
             _platform: platform,
-            _daemons: daemons,
+            controls: (0..count).map(|n| Some(dir.control(n, zones))).collect(),
+            entries: (0..count).map(|n| Some(dir.entry(n, zones))).collect(),
+            zones,
+        };
+        dir.publish(MANIFEST);
+        cluster
+    }
+
+    /// A key that works at all entries.
+    pub fn key(&self, dir: &Workdir) -> String {
+        let key = dir.grant("desk");
+        for n in 0..self.entries.len() {
+            wait_key(dir, n, &key);
         }
+        key
+    }
+
+    pub fn kill_entry(&mut self, n: usize) {
+        self.entries[n] = None;
+    }
+
+    pub fn restart_entry(&mut self, dir: &Workdir, n: usize) {
+        self.entries[n] = None;
+        self.entries[n] = Some(dir.entry(n, self.zones));
+    }
+
+    pub fn restart_control(&mut self, dir: &Workdir, n: usize) {
+        self.controls[n] = None;
+        self.controls[n] = Some(dir.control(n, self.zones));
     }
 }
 
+/// Waits until a key works at entry `n`.
+pub fn wait_key(dir: &Workdir, n: usize, key: &str) {
+    wait_within("the key works", SECONDS, || works(dir, n, key));
+}
+
+/// The status of a small call at entry `n`.
+pub fn look(dir: &Workdir, n: usize, key: &str) -> Option<StatusCode> {
+    let url = format!("{}/look", dir.entry_url(n));
+    let answer = dir.call(Method::GET, &url, Some(key), &[], "");
+    answer.map(|answer| answer.status())
+}
+
+pub fn works(dir: &Workdir, n: usize, key: &str) -> bool {
+    look(dir, n, key) == Some(StatusCode::OK)
+}
+
 /// The status as control daemon `n` tells it.
-fn status(dir: &Workdir, n: usize) -> serde_json::Value {
+pub fn status(dir: &Workdir, n: usize) -> serde_json::Value {
     let url = format!("{}/operator/status", dir.control_url(n));
-    let key = Some(crate::workdir::OPERATOR_KEY);
-    let answer = dir.call(http::Method::GET, &url, key, &[], "");
+    let answer = dir.call(Method::GET, &url, Some(OPERATOR_KEY), &[], "");
     answer.map_or(serde_json::Value::Null, |answer| {
         serde_json::from_slice(answer.body()).expect("JSON")
     })
@@ -51,3 +100,155 @@
         wait_within("all daemons are seen", SECONDS, || sees_fresh(&dir, n, 8));
     }
 }
+
+#[test]
+fn peers_refuse_wrong_secret() {
+    let dir = Workdir::new("secret");
+    let _cluster = Cluster::start(&dir, 2, 2);
+    let settings = dir.settings(2, 2);
+    let text = std::fs::read_to_string(&settings).expect("settings");
+    dir.write("wrong.key", "wrong-secret");
+    let text = text.replace("peer.key", "wrong.key");
+    let mut list = dir.instances(3, 2);
+    list[2]["state"] = "live".into();
+    dir.platform_post("instances", &list);
+    let settings = dir.write("wrong.toml", &text);
+    let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
+    let _wrong = dir.spawn(env!("CARGO_BIN_EXE_basillead-entry"), &args, "wrong");
+    dir.wait_http(&format!("{}/healthz", dir.entry_url(2)));
+    wait_within("its links are refused", SECONDS, || {
+        dir.log("wrong").contains("401")
+    });
+    for n in 0..2 {
+        wait_within("the others stay", SECONDS, || sees_fresh(&dir, n, 4));
+    }
+}
+
+/// Starts `count` instances, stops and restarts all daemons one after another while
+/// manifests are published, and checks that no accepted one is ever out of force.
+#[test]
+fn peers_never_revert_across_restarts() {
+    let dir = Workdir::new("restarts");
+    let mut cluster = Cluster::start(&dir, 3, 3);
+    let key = cluster.key(&dir);
+    let mut revision = status(&dir, 0)["revision"].as_u64().expect("a revision");
+    for round in 0..3 {
+        let manifest = MANIFEST.replace("base = 0", &format!("base = {revision}"));
+        dir.publish(&manifest.replace("weight = 2", &format!("weight = {}", round + 3)));
+        let accepted = status(&dir, 0)["revision"].as_u64().expect("a revision");
+        assert!(accepted > revision);
+        revision = accepted;
+        let log_is_down = round == 1;
+        dir.fault("log", None, log_is_down);
+        cluster.restart_entry(&dir, round);
+        wait_key(&dir, round, &key);
+        if !log_is_down {
+            cluster.restart_control(&dir, round);
+        }
+        dir.fault("log", None, false);
+        for n in 0..3 {
+            wait_within("the revision is in force everywhere", SECONDS, || {
+                let status = status(&dir, n);
+                let daemons = status["daemons"].as_array().map_or(&[][..], Vec::as_slice);
+                let entries = daemons.iter().filter(|one| one["daemon"] == "entry");
+                let held = entries.filter(|one| one["revision"] == revision).count();
+                held == 3 && status["revision"] == revision
+            });
+        }
+    }
+}
+
+/// A withdrawn key is dead at all entries in time, whatever the state of the log.
+fn withdraw(name: &str, count: usize, break_log: impl Fn(&Workdir), mend: impl Fn(&Workdir)) {
+    let dir = Workdir::new(name);
+    let cluster = Cluster::start(&dir, count, 3);
+    let key = cluster.key(&dir);
+    let streams: Vec<_> = (0..count).map(|n| Stream::open(&dir, n, &key)).collect();
+    break_log(&dir);
+    let digest = basillead::names::KeyDigest::of(&key).to_string();
+    let withdrawn = std::time::Instant::now();
+    let output = dir.basillead(&["key", "withdraw", &digest]);
+    assert!(output.status.success(), "{}", crate::workdir::show(&output));
+    let left = SECONDS.saturating_sub(withdrawn.elapsed());
+    wait_within("the key is dead everywhere", left, || {
+        (0..count).all(|n| !works(&dir, n, &key))
+    });
+    for stream in streams {
+        let left = SECONDS.saturating_sub(withdrawn.elapsed());
+        let text = stream.end(left);
+        assert!(text.contains("event: error"), "no error event: {text}");
+    }
+    mend(&dir);
+}
+
+#[test]
+fn withdraw_ends_streams() {
+    withdraw("withdraw", 3, |_| (), |_| ());
+}
+
+#[test]
+fn withdraw_log_down_for_one() {
+    withdraw(
+        "withdraw-one",
+        4,
+        |dir| dir.fault("log", Some("i1"), true),
+        |dir| dir.fault("log", Some("i1"), false),
+    );
+}
+
+/// A long streamed completion, read on a thread of its own.
+pub struct Stream(
+    std::thread::JoinHandle<String>,
+    std::sync::Arc<std::sync::Mutex<String>>,
+);
+
+impl Stream {
+    /// Opens a stream at entry `n` and waits for its first event.
+    pub fn open(dir: &Workdir, n: usize, key: &str) -> Self {
+        Self::long(dir, n, key, 20_000)
+    }
+
+    /// Opens a stream of a number of tokens.
+    pub fn long(dir: &Workdir, n: usize, key: &str, tokens: u32) -> Self {
+        use std::io::{Read as _, Write as _};
+        let url = dir.entry_url(n);
+        let address = url.trim_start_matches("http://");
+        let mut socket = std::net::TcpStream::connect(address).expect("a connection");
+        let body = serde_json::json!({
+            "model": "stroke-1", "prompt": "a b", "max_tokens": tokens, "stream": true,
+        })
+        .to_string();
+        let head = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {key}\r\n\
+             content-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.len()
+        );
+        socket.write_all(head.as_bytes()).expect("a request");
+        let text = std::sync::Arc::new(std::sync::Mutex::new(String::new()));
+        let shared = std::sync::Arc::clone(&text);
+        let reader = std::thread::spawn(move || {
+            let mut buf = [0; 4_096];
+            while let Ok(count @ 1..) = socket.read(&mut buf) {
+                let part = String::from_utf8_lossy(&buf[..count]);
+                shared.lock().expect("a lock").push_str(&part);
+            }
+            shared.lock().expect("a lock").clone()
+        });
+        let stream = Self(reader, text);
+        wait_within("the stream begins", SECONDS, || {
+            stream.text().contains("data: ")
+        });
+        stream
+    }
+
+    /// What came so far.
+    pub fn text(&self) -> String {
+        self.1.lock().expect("a lock").clone()
+    }
+
+    /// All that came, once the stream ended.
+    pub fn end(self, limit: Duration) -> String {
+        wait_within("the stream ends", limit, || self.0.is_finished());
+        self.0.join().expect("the reader")
+    }
+}
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -346,6 +346,15 @@
         );
     }
 
+    /// Takes an interface of the platform down or up, for one instance or all.
+    pub fn fault(&self, interface: &str, instance: Option<&str>, down: bool) {
+        let faults = serde_json::json!({"down": down});
+        let fault = serde_json::json!({
+            "interface": interface, "instance": instance, "faults": faults,
+        });
+        self.platform_post("fault", &fault);
+    }
+
     /// Reads JSON from the platform's own control pages.
     pub fn platform_get<T: DeserializeOwned>(&self, page: &str) -> T {
         let url = format!("{}/{page}", self.platform_url());
