--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,11 +2,13 @@
 
 pub mod leases;
 mod operator;
+mod rounds;
 mod serve;
+pub mod usage;
 
 use std::sync::Arc;
 
-use crate::edge::{HttpInstances, HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
@@ -15,6 +17,8 @@
 use crate::telemetry::Metrics;
 use crate::wire::Daemon;
 
+use rounds::Rounds;
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -24,7 +28,9 @@
     peers: Arc<Peers>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
+    usage: Arc<usage::UsageWindows>,
     metrics: Metrics,
+    client: Client,
 }
 
 impl Control {
@@ -38,8 +44,22 @@
         let incarnation = Incarnation::random();
         let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
-        let leases = leases::Leases::new(log, instances.clone(), &settings.instance, &incarnation);
+        let leases = leases::Leases::new(
+            log.clone(),
+            instances.clone(),
+            &settings.instance,
+            &incarnation,
+        );
+        let leases = Arc::new(leases);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
+        let usage = usage::UsageWindows::new(
+            log,
+            sink,
+            Arc::clone(&leases),
+            Arc::clone(&config),
+            &metrics.meter(),
+        );
         let peers = Peers::new(
             &settings,
             Daemon::Control,
@@ -52,8 +72,10 @@
             incarnation,
             config,
             peers,
-            leases: Arc::new(leases),
+            leases,
+            usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
+            client,
             metrics,
             settings,
         })
@@ -70,11 +92,19 @@
         control.peers.run().await?;
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(Arc::clone(&control.usage).run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
+        let rounds = Rounds::new(
+            &control.settings,
+            &control.client,
+            Arc::clone(&control.config),
+        );
+        let rounds = Arc::new(rounds);
+        tokio::spawn(Arc::clone(&rounds).follow());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
-            serve::answer(Arc::clone(&state), request)
+            serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
         })?;
         spdlog::info!("control started", kv: {
             address = address.to_string(),
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -1,21 +1,24 @@
 //! One sample for a control daemon: generated here, so that tokens never pass control.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
 
 use crate::http::{Refusal, RefusalKind, Response, json};
-use crate::util::{instant_of, random_id};
-use crate::wire::{SampleAnswer, SampleRequest};
+use crate::util::instant_of;
+use crate::wire::{EngineChunk, SampleAnswer, SampleRequest};
 
 use super::Entry;
-use super::enter::{self, Arrival};
+use super::enter::{self, Arrival, Entered};
 use super::fair::Class;
 use super::generate::{Generation, Job};
 use super::usage::Tally;
 
 /// Engine priority of rollout work.
 const PRIORITY_ROLLOUT: u32 = 10;
+/// Engine priority of rollout work that holds up a step.
+const PRIORITY_URGENT: u32 = 9;
 
 /// Generates one sample; a part of it is an answer too, which can be resumed.
 pub(super) async fn sample(entry: &Arc<Entry>, body: &[u8]) -> Result<Response, Refusal> {
@@ -24,12 +27,16 @@
     let held = request.resume.len();
     let mut segments = request.segments;
     let job = Job {
-        id: format!("smpl-{}", random_id()),
+        id: request.id,
         tenant: request.tenant.into(),
         model: request.model.into(),
         prompt: request.prompt,
         max_tokens: request.max_tokens,
-        priority: PRIORITY_ROLLOUT,
+        priority: if request.urgent {
+            PRIORITY_URGENT
+        } else {
+            PRIORITY_ROLLOUT
+        },
         seed: Some(request.seed),
         deadline: instant_of(request.deadline_ms),
         version: request.version,
@@ -40,6 +47,9 @@
     let left = (job.max_tokens as usize).saturating_sub(held);
     let (cost, deadline) = (enter::cost(job.prompt.len(), left), job.deadline);
     let mut tally = Tally::new(entry, &tenant, u32::try_from(left).unwrap_or(u32::MAX));
+    if held > 0 {
+        tally = tally.resumed();
+    }
     let mut generation = Generation::new(Arc::clone(entry), job)?;
     let arrival = Arrival {
         pool: generation.pool(),
@@ -50,24 +60,14 @@
         deadline,
     };
     let mut entered = enter::enter(entry, arrival).await?;
-    let done = loop {
-        let next = tokio::select! {
-            next = generation.next() => Some(next),
-            // Live work needs the place; what is made so far goes back and is resumed later.
-            () = entered.room_wanted(), if generation.tokens().len() > held => None,
-        };
-        match next {
-            Some(Ok(chunk)) => {
-                tally.count(generation.prompt_tokens(), chunk.tokens.len());
-                entered.settle(enter::cost(0, generation.tokens().len() - held));
-                if chunk.done {
-                    break true;
-                }
-            }
-            Some(Err(refusal)) if generation.tokens().len() == held => return Err(refusal),
-            Some(Err(_)) | None => break false,
-        }
+    let mut work = Work {
+        generation: &mut generation,
+        entered: &mut entered,
+        tally: &mut tally,
+        held,
     };
+    let slice = Duration::from_millis(request.slice_ms);
+    let done = work.run(slice).await?;
     for segment in generation.segments() {
         super::generate::add_segment(&mut segments, segment.version, segment.tokens);
     }
@@ -80,3 +80,62 @@
     };
     Ok(json(StatusCode::OK, &answer))
 }
+
+/// A sample under way, with what it takes of this entry.
+struct Work<'a> {
+    generation: &'a mut Generation,
+    entered: &'a mut Entered,
+    tally: &'a mut Tally,
+    /// Tokens that were held at the start.
+    held: usize,
+}
+
+impl Work<'_> {
+    /// Generates until the sample is whole, or its part so far is to go back.
+    ///
+    /// A part goes back when no server could go on, when its slice of time from its first
+    /// chunk on is over (a slice of zero has no end), or when live work needs the place.
+    async fn run(&mut self, slice: Duration) -> Result<bool, Refusal> {
+        let mut until: Option<Instant> = None;
+        loop {
+            match self.next(until).await {
+                Some(Ok(chunk)) => {
+                    self.count(chunk.tokens.len());
+                    if chunk.done {
+                        return Ok(true);
+                    }
+                }
+                Some(Err(refusal)) if self.made() == 0 => return Err(refusal),
+                Some(Err(_)) | None => return Ok(false),
+            }
+            if !slice.is_zero() {
+                until.get_or_insert_with(|| Instant::now() + slice);
+            }
+        }
+    }
+
+    /// The next chunk; none when the part so far is to go back.
+    async fn next(&mut self, until: Option<Instant>) -> Option<Result<EngineChunk, Refusal>> {
+        let has_part = self.made() > 0;
+        let slice_over = async {
+            match until {
+                Some(until) => tokio::time::sleep_until(until.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            next = self.generation.next() => Some(next),
+            () = slice_over => None,
+            () = self.entered.room_wanted(), if has_part => None,
+        }
+    }
+
+    fn made(&self) -> usize {
+        self.generation.tokens().len() - self.held
+    }
+
+    fn count(&mut self, tokens: usize) {
+        self.tally.count(self.generation.prompt_tokens(), tokens);
+        self.entered.settle(enter::cost(0, self.made()));
+    }
+}
--- a/src/entry/usage/append.rs
+++ b/src/entry/usage/append.rs
@@ -6,18 +6,18 @@
 use opentelemetry::metrics::{Counter, Meter};
 
 use crate::edge::{Log, Stream};
+use crate::log::Backoff;
 use crate::util::{jittered, unix_ms};
 use crate::wire::UsageOpen;
 
 use super::super::Entry;
-use super::window_start;
+use super::{UsageBatch, window_start};
 
 /// Longest pause between two appends while counters change.
 const APPEND_PAUSE: Duration = Duration::from_millis(1_250);
-/// First pause after a failed append; it doubles with each failure.
-const BACKOFF_FIRST: Duration = Duration::from_millis(100);
-/// Longest pause after failed appends.
-const BACKOFF_MAX: Duration = Duration::from_secs(2);
+
+/// Longest time without a record while requests run.
+const KEEPALIVE: Duration = Duration::from_secs(10);
 
 /// Instruments of the appends.
 #[derive(Debug)]
@@ -51,30 +51,41 @@
 pub(in crate::entry) struct AppendState {
     seq: u64,
     open: Vec<UsageOpen>,
+    last: Option<Instant>,
+}
+
+impl AppendState {
+    /// Whether a batch says nothing that the log does not say already.
+    ///
+    /// While requests run, records tell that the entry lives.
+    fn is_idle(&self, batch: &UsageBatch) -> bool {
+        let recent = self.last.is_some_and(|last| last.elapsed() < KEEPALIVE);
+        batch.counts.is_empty() && batch.open == self.open && (batch.open.is_empty() || recent)
+    }
 }
 
 /// Appends the counters that changed, about once a second, for ever.
 pub(in crate::entry) async fn follow(entry: Arc<Entry>) {
-    let mut backoff = BACKOFF_FIRST;
+    let mut backoff = Backoff::default();
     loop {
         if append(&entry).await {
-            backoff = BACKOFF_FIRST;
+            backoff.reset();
             tokio::time::sleep(jittered(APPEND_PAUSE)).await;
         } else {
-            tokio::time::sleep(jittered(backoff)).await;
-            backoff = (backoff * 2).min(BACKOFF_MAX);
+            backoff.pause().await;
         }
     }
 }
 
 /// Appends what is left until the log holds it, or until `deadline`.
 pub(in crate::entry) async fn flush(entry: &Entry, deadline: Instant) {
+    let mut backoff = Backoff::default();
     while !append(entry).await {
         if Instant::now() >= deadline {
             spdlog::error!("usage counters were not appended at shutdown");
             return;
         }
-        tokio::time::sleep(BACKOFF_FIRST).await;
+        backoff.pause().await;
     }
 }
 
@@ -85,7 +96,7 @@
     let length = entry.config.state().manifest.window;
     let mut state = entry.appends.lock().await;
     let batch = entry.usage.batch(window_start(unix_ms(), length));
-    if batch.counts.is_empty() && batch.open == state.open {
+    if state.is_idle(&batch) {
         return true;
     }
     state.seq += 1;
@@ -104,5 +115,6 @@
     metrics.bytes.add(bytes, &[]);
     entry.usage.confirm(&batch);
     state.open = batch.open;
+    state.last = Some(Instant::now());
     true
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,5 +8,7 @@
 mod once;
 mod path;
 mod peers;
+mod rounds;
 mod stop;
+mod trainer;
 mod workdir;
