Deny withdrawn keys by digests before the log shows them, and relay peers' links in tests

A withdrawal is final, so it need not wait for the log's order: digests carry it, every daemon refuses the key as soon as it hears of it, and control daemons append it until the log shows it.

The stand-in leads peers' links through relays whose directions can be cut one by one.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,9 +5,12 @@
 mod rounds;
 mod serve;
 pub mod usage;
+mod withdraw;
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use crate::drain::Drain;
 use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
@@ -19,6 +22,9 @@
 
 use rounds::Rounds;
 
+/// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
+const FINISH: Duration = Duration::from_secs(35);
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -26,6 +32,7 @@
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
+    drain: Arc<Drain>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     usage: Arc<usage::UsageWindows>,
@@ -72,6 +79,7 @@
             incarnation,
             config,
             peers,
+            drain: Arc::default(),
             leases,
             usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
@@ -90,6 +98,7 @@
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
         control.peers.run().await?;
+        tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
         tokio::spawn(Arc::clone(&control.usage).run());
@@ -99,6 +108,7 @@
             &control.settings,
             &control.client,
             Arc::clone(&control.config),
+            Arc::clone(&control.peers),
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
@@ -111,8 +121,21 @@
             incarnation = control.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
-        control.leases.release().await;
+        tokio::select! {
+            () = control.drain() => {}
+            again = crate::util::stop_signal() => again?,
+        }
         drop(server);
         Ok(())
     }
+
+    /// Leaves: hands leases on, refuses new calls, and finishes those that run.
+    async fn drain(&self) {
+        self.drain.leave();
+        self.peers.update(|own| own.leaving = true);
+        self.drain.close();
+        self.leases.release().await;
+        let left = self.drain.finish(Instant::now() + FINISH).await;
+        spdlog::info!("leaving", kv: { left });
+    }
 }
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -10,10 +10,11 @@
 use crate::http::{Refusal, RefusalKind, Response, json, read_body};
 use crate::peer::{Holding, PeerDigest};
 use crate::wire::{
-    BackendServer, ConfigRecord, InstanceStatus, Published, ServerStatus, Status, Verdict,
+    BackendServer, ConfigBody, ConfigRecord, InstanceStatus, Published, ServerStatus, Status,
+    Verdict,
 };
 
-use super::Control;
+use super::{Control, withdraw};
 
 /// Largest record in bytes.
 const RECORD_MAX: usize = 4 << 20;
@@ -34,10 +35,12 @@
     let body = read_body(body, RECORD_MAX, Instant::now() + UPLOAD).await?;
     let record: ConfigRecord = serde_json::from_slice(&body)
         .map_err(|error| Refusal::not_run(RefusalKind::Malformed, error.to_string()))?;
+    if let ConfigBody::KeyWithdraw { digest } = &record.body {
+        withdraw::deny(control, digest);
+    }
     let verdict = control.config.submit(&record, Instant::now() + FOLD).await;
     let Some(verdict) = verdict else {
-        let detail = "the log did not take the record in time; publish it again";
-        return Err(Refusal::unknown(RefusalKind::Deadline, detail));
+        return Err(withdraw::not_recorded(control, &record.body));
     };
     let spread = match &verdict {
         Verdict::Accepted { offset, .. } => wait_majority(control, *offset).await?,
--- a/src/control/rounds/mod.rs
+++ b/src/control/rounds/mod.rs
@@ -26,6 +26,7 @@
 use crate::http::Client;
 use crate::log::ConfigLog;
 use crate::names::Pool;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::wire::{BackendServer, ServerState};
 
@@ -45,6 +46,7 @@
 #[derive(Debug)]
 pub(super) struct Rounds {
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     entries: Entries,
     servers: HttpServers,
     sessions: Mutex<BTreeMap<String, Arc<Session>>>,
@@ -66,12 +68,18 @@
 
 impl Rounds {
     /// No sessions yet. Their work runs on the runtime that calls this.
-    pub fn new(settings: &Settings, client: &Client, config: Arc<ConfigLog>) -> Self {
+    pub fn new(
+        settings: &Settings,
+        client: &Client,
+        config: Arc<ConfigLog>,
+        peers: Arc<Peers>,
+    ) -> Self {
         let instances = HttpInstances::new(client, &settings.platform.instances);
         let own = settings.entry.http.to_string();
         let secret = settings.peer_secret.clone();
         Self {
             config,
+            peers,
             entries: Entries::new(client.clone(), Arc::new(instances), secret, own),
             servers: HttpServers::new(client, &settings.platform.servers),
             sessions: Mutex::default(),
@@ -99,7 +107,7 @@
         let state = self.config.state();
         self.sessions.lock().retain(|_, session| {
             let in_force = state.round(&session.spec.name).is_some();
-            let keyed = state.tenant(&session.key).is_some();
+            let keyed = self.peers.tenant(&session.key).is_some();
             let idle = drive::is_idle(session.used(), now, IDLE);
             if in_force && keyed && !idle {
                 return true;
--- a/src/control/rounds/serve.rs
+++ b/src/control/rounds/serve.rs
@@ -22,8 +22,6 @@
 const UPLOAD: Duration = Duration::from_secs(10);
 /// Longest wait of one pull.
 const WAIT_MAX: Duration = Duration::from_secs(30);
-/// Age after which the configuration no longer counts as fresh.
-const FRESH_FOR: Duration = Duration::from_secs(3);
 
 /// Opens a session for a round of the key's tenant.
 pub(crate) async fn open(
@@ -117,7 +115,7 @@
 }
 
 fn check_key(rounds: &Rounds, key: &KeyDigest) -> Result<(), Refusal> {
-    if rounds.config.state().tenant(key).is_some() {
+    if rounds.peers.tenant(key).is_some() {
         return Ok(());
     }
     let detail = "the key is unknown or was withdrawn";
@@ -141,8 +139,7 @@
 
 /// Refuses trainers while the configuration may be out of date.
 fn check_fresh(rounds: &Rounds) -> Result<(), Refusal> {
-    let seen = rounds.config.freshness().seen();
-    if seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR) {
+    if rounds.peers.is_fresh(Instant::now()) {
         return Ok(());
     }
     let detail = "this daemon cannot show that its configuration is up to date";
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -21,6 +21,13 @@
 ) -> Response {
     let (head, body) = request.into_parts();
     let (_, mut body) = body.replace_body(());
+    let active = control.drain.enter();
+    let is_work = !matches!(head.uri.path(), "/healthz" | "/metrics");
+    if is_work && active.is_none() {
+        let detail = "this control daemon is shutting down; use another one";
+        let refusal = Refusal::not_run(RefusalKind::Leaving, detail).retry_after(1);
+        return refuse(&refusal, &mut body).await;
+    }
     let answered = match head.uri.path().strip_prefix("/v1/rounds/sessions") {
         Some(rest) => trainer(&rounds, rest, &head, &mut body).await,
         None => dispatch(&control, &head, &mut body).await,
--- a/src/entry/address.rs
+++ b/src/entry/address.rs
@@ -88,6 +88,7 @@
             crashes: Vec::new(),
             daemon: Daemon::Entry,
             demand: Vec::new(),
+            denied: Vec::new(),
             fresh: true,
             incarnation: format!("{instance}-run"),
             instance: instance.to_owned(),
--- a/src/entry/fresh.rs
+++ b/src/entry/fresh.rs
@@ -2,11 +2,15 @@
 
 use std::time::Instant;
 
+use http::HeaderMap;
+
 use crate::http::{Refusal, RefusalKind};
+use crate::log::ConfigState;
 use crate::names::KeyDigest;
 use crate::wire::Run;
 
-use super::{Entry, auth};
+use super::Entry;
+use super::auth::{self, Caller};
 
 /// Checks that the configuration is up to date.
 ///
@@ -26,12 +30,27 @@
 /// It was withdrawn, or nobody can tell.
 pub(super) fn check_key(entry: &Entry, key: &KeyDigest) -> Result<(), Refusal> {
     check(entry)?;
-    match entry.config.state().tenant(key) {
+    match entry.peers.tenant(key) {
         Some(_) => Ok(()),
         None => Err(auth::invalid()),
     }
 }
 
+/// Finds the caller of a request by its key.
+///
+/// # Errors
+/// A missing, doubled, unknown or withdrawn key, or a configuration that is not fresh.
+pub(super) fn caller(
+    entry: &Entry,
+    state: &ConfigState,
+    headers: &HeaderMap,
+) -> Result<Caller, Refusal> {
+    check(entry)?;
+    let caller = auth::caller(state, headers)?;
+    check_key(entry, &caller.digest)?;
+    Ok(caller)
+}
+
 /// Does `work` as long as a key is in force; what is refused states `run`.
 ///
 /// # Errors
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -130,8 +130,7 @@
 ) -> Result<Response, Refusal> {
     let state = entry.config.state();
     check_headers(&state, head)?;
-    fresh::check(entry)?;
-    let caller = auth::caller(&state, &head.headers)?;
+    let caller = fresh::caller(entry, &state, &head.headers)?;
     let limit = state.manifest.limits.request;
     let deadline = enter::deadline(&head.headers, limit, Instant::now())?;
     let body = take_body(&state, body).await?;
@@ -170,7 +169,7 @@
     let caller = if route.open {
         None
     } else {
-        Some(auth::caller(&state, &head.headers)?)
+        Some(fresh::caller(entry, &state, &head.headers)?)
     };
     let target = head
         .uri
--- a/src/peer/members.rs
+++ b/src/peer/members.rs
@@ -6,6 +6,7 @@
 
 use super::fresh::{Contact, Knowledge, is_head_recent};
 use super::{Ahead, Link, Peers};
+use crate::names::{KeyDigest, Tenant};
 use crate::wire::{ConfigSnapshot, Daemon, Instance, PeerMessage};
 
 /// Time between two readings of the instance list.
@@ -79,19 +80,36 @@
     /// How many of the listed instances hold the record at `offset`.
     #[must_use]
     pub fn holding(&self, offset: u64) -> Holding {
-        let listed = self.listed();
         let digests = self.digests();
-        let holds = |instance: &&Instance| {
+        self.count_listed(|instance| {
             digests.iter().any(|peer| {
                 let digest = &peer.digest;
                 digest.daemon == Daemon::Entry
                     && digest.instance == instance.id
                     && digest.config_next > offset
             })
-        };
+        })
+    }
+
+    /// How many of the listed instances deny a key or hold its withdrawal.
+    #[must_use]
+    pub fn denying(&self, key: &str) -> Holding {
+        let digests = self.digests();
+        self.count_listed(|instance| {
+            digests.iter().any(|peer| {
+                let digest = &peer.digest;
+                digest.daemon == Daemon::Entry
+                    && digest.instance == instance.id
+                    && digest.denied.iter().any(|denied| denied == key)
+            })
+        })
+    }
+
+    fn count_listed(&self, holds: impl Fn(&Instance) -> bool) -> Holding {
+        let listed = self.listed();
         let count = |n| u32::try_from(n).unwrap_or(u32::MAX);
         Holding {
-            holding: count(listed.iter().filter(holds).count()),
+            holding: count(listed.iter().filter(|instance| holds(instance)).count()),
             listed: count(listed.len()),
         }
     }
@@ -103,6 +121,14 @@
         is_head_recent(seen, now) || self.majority.lock().is_some_and(|until| now < until)
     }
 
+    /// The tenant of a key that is in force, as far as this daemon knows.
+    #[must_use]
+    pub fn tenant(&self, key: &KeyDigest) -> Option<Tenant> {
+        let state = self.config.state();
+        let tenant = state.tenant(key).cloned();
+        tenant.filter(|_| !self.denied.contains(key))
+    }
+
     /// Works out anew until when a majority shows that the configuration is up to date.
     fn review_majority(&self) {
         let now = Instant::now();
@@ -177,6 +203,7 @@
 
     /// Takes note that the configuration changed.
     pub(super) fn config_changed(&self) {
+        self.denied.settle(&self.config.state());
         let ahead = self.ahead.lock().take();
         if let Some(ahead) = ahead {
             self.note_head(ahead);
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 pub mod clock;
+mod denied;
 mod dial;
 pub mod fresh;
 mod link;
@@ -14,7 +15,7 @@
 mod socket;
 pub mod table;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -25,6 +26,7 @@
 use tokio::sync::watch;
 
 pub use calls::CallError;
+pub use denied::Denied;
 pub use link::{Link, PeerId};
 pub use members::Holding;
 pub use metrics::PeerMetrics;
@@ -32,7 +34,7 @@
 
 use crate::edge::Instances;
 use crate::log::ConfigLog;
-use crate::names::{Incarnation, Secret, Zone};
+use crate::names::{Incarnation, KeyDigest, Secret, Zone};
 use crate::settings::{Listen, Settings};
 use crate::util::millis;
 use crate::wire::{
@@ -81,6 +83,7 @@
     seq: u64,
     content: u64,
     revision: u64,
+    denied: Arc<BTreeSet<KeyDigest>>,
     beat_at: Option<Instant>,
     content_at: Option<Instant>,
 }
@@ -102,6 +105,7 @@
     links: Mutex<BTreeMap<u64, Arc<Link>>>,
     handlers: RwLock<Vec<Handler>>,
     calls: Calls,
+    denied: Denied,
     settled: AtomicBool,
     asked: Mutex<Option<Instant>>,
     ahead: Mutex<Option<Ahead>>,
@@ -159,6 +163,7 @@
             links: Mutex::default(),
             handlers: RwLock::default(),
             calls: Calls::default(),
+            denied: Denied::default(),
             settled: AtomicBool::new(false),
             asked: Mutex::new(None),
             ahead: Mutex::new(None),
@@ -232,6 +237,19 @@
         self.handlers.write().push(Arc::new(handler));
     }
 
+    /// Denies keys here, and by digests everywhere, until the log shows them withdrawn.
+    pub fn deny<'a>(&self, keys: impl Iterator<Item = &'a str>) {
+        if self.denied.add(keys, &self.config.state()) {
+            self.wake.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// The keys that are denied before the log shows them withdrawn.
+    #[must_use]
+    pub fn denied(&self) -> &Denied {
+        &self.denied
+    }
+
     /// Watches for changes of the configuration and the loss of its freshness.
     #[must_use]
     pub fn watch(&self) -> watch::Receiver<u64> {
@@ -328,8 +346,11 @@
         let known = table.get(self.me.incarnation.as_str());
         let beats = known.is_none_or(|k| k.digest.config_next != next || k.digest.fresh != fresh);
         let due = |at: Option<Instant>, pause| at.is_none_or(|at| now >= at + pause);
+        let denied = self.denied.keys();
         let differs = counted.own != counted.told || counted.revision != state.revision;
-        let changed = counted.content == 0 || differs && due(counted.content_at, CONTENT);
+        let changed = counted.content == 0
+            || counted.denied != denied
+            || differs && due(counted.content_at, CONTENT);
         if !(changed || beats || due(counted.beat_at, BEAT)) {
             return;
         }
@@ -340,6 +361,7 @@
             counted.content_at = Some(now);
             counted.told = counted.own.clone();
             counted.revision = state.revision;
+            counted.denied = denied;
         }
         let crash = |crash: &OwnCrash| Crash {
             age_ms: millis(now.saturating_duration_since(crash.at)),
@@ -354,6 +376,7 @@
             crashes: told.crashes.iter().map(crash).collect(),
             daemon: self.me.daemon,
             demand: told.demand.clone(),
+            denied: counted.denied.iter().map(ToString::to_string).collect(),
             fresh,
             incarnation: self.me.incarnation.to_string(),
             instance: self.me.instance.to_string(),
@@ -407,6 +430,7 @@
         let mut table = self.table.lock();
         for digest in digests {
             rounds.view.note_digest(&digest);
+            self.deny(digest.denied.iter().map(String::as_str));
             if digest.incarnation != self.me.incarnation.as_str() {
                 table.take_digest(digest, at, now);
             }
--- a/src/peer/table.rs
+++ b/src/peer/table.rs
@@ -236,6 +236,7 @@
             crashes: Vec::new(),
             daemon: Daemon::Entry,
             demand: Vec::new(),
+            denied: Vec::new(),
             fresh: true,
             incarnation: name.to_owned(),
             instance: name.to_owned(),
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -76,6 +76,12 @@
         })
     }
 
+    /// The address on which ports of servers open.
+    #[must_use]
+    pub fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
     /// Starts one server and returns its id.
     ///
     /// # Errors
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -9,6 +9,7 @@
 pub mod log;
 pub mod platform;
 pub mod prefix;
+pub mod relay;
 pub mod serve;
 pub mod service;
 pub mod weights;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gumdrop::Options;
 use http::{Method, Request, Response, StatusCode};
@@ -17,6 +17,7 @@
 use super::faults::{FaultTable, Interface, SetFaults};
 use super::fleet::{Fleet, PoolStandin};
 use super::log::LogStore;
+use super::relay::Relays;
 use super::serve::{self, Answer, Served, json, query, whole};
 use super::weights::WeightStore;
 
@@ -45,6 +46,9 @@
         default = "1"
     )]
     pub work_ms: u64,
+    /// Whether peers' links lead through relays.
+    #[options(help = "lead peers' links through relays that can be cut by POST /cut")]
+    pub relays: bool,
     /// Model that engines hold.
     #[options(help = "model that engines hold when they start", default = "stroke-1")]
     pub model: String,
@@ -57,10 +61,12 @@
     pub log: LogStore,
     /// The backend servers.
     pub fleet: Arc<Fleet>,
-    /// The instance list.
-    pub instances: Mutex<Vec<Instance>>,
+    /// The instance lists, each with the instant from which it was right.
+    pub instances: Mutex<Vec<(Instant, Vec<Instance>)>>,
     /// Reports that the usage interface got, in order.
     pub reports: Mutex<Vec<UsageReport>>,
+    /// Relays of peers' links, if they lead through any.
+    pub relays: Option<Relays>,
     /// The faults in force.
     pub faults: FaultTable,
 }
@@ -68,11 +74,12 @@
 impl Platform {
     /// A platform with this fleet and these instances.
     #[must_use]
-    pub fn new(fleet: Arc<Fleet>, instances: Vec<Instance>) -> Arc<Self> {
+    pub fn new(fleet: Arc<Fleet>, instances: Vec<Instance>, relays: Option<Relays>) -> Arc<Self> {
         Arc::new(Self {
             log: LogStore::default(),
             fleet,
-            instances: Mutex::new(instances),
+            instances: Mutex::new(vec![(Instant::now(), instances)]),
+            relays,
             reports: Mutex::default(),
             faults: FaultTable::default(),
         })
@@ -117,6 +124,7 @@
             "servers" => self.servers_call(call).await,
             "usage" => self.usage_call(call).await,
             "fault" => Ok(self.fault_call(&call)),
+            "cut" => Ok(self.cut_call(&call)),
             "crash" => {
                 self.fleet.crash(rest);
                 Ok(json(&()))
@@ -129,6 +137,25 @@
         }
     }
 
+    /// The instance list as it was `lag` ago.
+    fn listed(&self, lag: Duration) -> Vec<Instance> {
+        let lists = self.instances.lock();
+        let old = lists.iter().rev().find(|(since, _)| since.elapsed() >= lag);
+        let (_, list) = old.unwrap_or(&lists[0]);
+        list.clone()
+    }
+
+    fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
+        match (&self.relays, serde_json::from_str(&call.body)) {
+            (Some(relays), Ok(directions)) => {
+                relays.cut(directions);
+                json(&())
+            }
+            (None, _) => whole(StatusCode::BAD_REQUEST, "started without --relays"),
+            (_, Err(error)) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
     fn fault_call(&self, call: &Call<'_>) -> Response<serve::Body> {
         match serde_json::from_str::<SetFaults>(&call.body) {
             Ok(set) => {
@@ -161,16 +188,24 @@
     }
 
     async fn instances_call(&self, call: Call<'_>) -> Answer {
-        self.faults
+        let faults = self
+            .faults
             .before(Interface::Instances, call.instance)
             .await?;
         if call.post {
             match serde_json::from_str(&call.body) {
-                Ok(list) => *self.instances.lock() = list,
+                Ok(list) => self.instances.lock().push((Instant::now(), list)),
                 Err(error) => return Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
             }
         }
-        Ok(json(&*self.instances.lock()))
+        let list = self.listed(Duration::from_millis(faults.lag_ms));
+        match (&self.relays, call.instance) {
+            (Some(relays), Some(instance)) => {
+                let seen = relays.view(instance, &list, self.fleet.ip()).await?;
+                Ok(json(&seen))
+            }
+            _ => Ok(json(&list)),
+        }
     }
 
     async fn servers_call(&self, call: Call<'_>) -> Answer {
@@ -249,7 +284,8 @@
         Some(path) => serde_json::from_str(&std::fs::read_to_string(path)?)?,
         None => Vec::new(),
     };
-    let platform = Platform::new(fleet, instances);
+    let relays = args.relays.then(Relays::default);
+    let platform = Platform::new(fleet, instances, relays);
     let _served = platform.serve(listen).await?;
     crate::util::stop_signal().await
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -164,6 +164,8 @@
     pub crashes: ::std::vec::Vec<Crash>,
     pub daemon: Daemon,
     pub demand: ::std::vec::Vec<TenantDemand>,
+    #[doc = "Digests of keys that are withdrawn, though the log does not show it yet."]
+    pub denied: ::std::vec::Vec<::std::string::String>,
     #[doc = "Whether the sender could show that its configuration is up to date."]
     pub fresh: bool,
     pub incarnation: ::std::string::String,
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -292,6 +292,19 @@
         command.output().expect("the command line runs")
     }
 
+    /// Starts the command line against control daemon 0.
+    pub fn spawn_basillead(&self, args: &[&str]) -> Process {
+        self.spawn_basillead_at(0, args)
+    }
+
+    /// Starts the command line against control daemon `n`.
+    pub fn spawn_basillead_at(&self, n: usize, args: &[&str]) -> Process {
+        let control = self.control_url(n);
+        let mut all = args.to_vec();
+        all.extend(["--control", &control, "--key-file", "operator.key"]);
+        self.spawn(env!("CARGO_BIN_EXE_basillead"), &all, "basillead")
+    }
+
     /// Publishes a manifest, which must be accepted.
     pub fn publish(&self, manifest: &str) -> Output {
         self.write("manifest.toml", manifest);
