--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod log;
 pub mod platform;
 pub mod prefix;
+pub mod relay;
 pub mod serve;
 pub mod service;
 pub mod weights;
