--- a/src/control/rounds/serve.rs
+++ b/src/control/rounds/serve.rs
@@ -29,8 +29,7 @@
     headers: &HeaderMap,
     body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
-    let key = KeyDigest::of(bearer(headers)?);
-    check_fresh(rounds)?;
+    let key = admitted_key(rounds, headers)?;
     let open: SessionOpen = parse(body).await?;
     let spec = check(rounds, &key, &open.round)?;
     if unix_ms() >= spec.deadline_ms {
@@ -61,8 +60,7 @@
     headers: &HeaderMap,
     body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
-    let key = KeyDigest::of(bearer(headers)?);
-    check_fresh(rounds)?;
+    let key = admitted_key(rounds, headers)?;
     let pull: Pull = parse(body).await?;
     let session = find(rounds, &key, id)?;
     let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
@@ -95,6 +93,14 @@
     Ok(json(StatusCode::OK, &()))
 }
 
+/// The call's key, if it is in force; checked before anything of the body is read.
+fn admitted_key(rounds: &Rounds, headers: &HeaderMap) -> Result<KeyDigest, Refusal> {
+    let key = KeyDigest::of(bearer(headers)?);
+    check_fresh(rounds)?;
+    check_key(rounds, &key)?;
+    Ok(key)
+}
+
 async fn parse<T: DeserializeOwned>(body: &mut RequestBody) -> Result<T, Refusal> {
     let body = read_body(body, BODY_MAX, Instant::now() + UPLOAD).await?;
     serde_json::from_slice(&body)
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod leak;
 mod once;
+mod openapi;
 mod path;
 mod peers;
 mod rounds;
