Order backend servers under the lease, with intents read back first

Cause: servers cost money, are reclaimed at short notice, and must never be ordered by two processes in charge. A plan (pure) keeps each pool between its bounds, spreads it over zones, bounds cheap servers by zone, falls back to regular ones where cheap ones lack, and shrinks only after a minute to spare. An intent is read back before its order is sent; open intents are resolved first. A server is marked as leaving on the configuration stream, gets no new work, and is stopped once it is idle.

--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -47,6 +47,8 @@
         return Ok(());
     }
     telemetry::init_log(settings.log_format, settings.log_level)?;
+    #[cfg(feature = "failpoints")]
+    let _scenario = fail::FailScenario::setup();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.threads)
         .enable_all()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,8 +2,11 @@
 
 pub mod leases;
 mod operator;
+pub mod orders;
+pub mod plan;
 mod rounds;
 mod serve;
+mod snapshot;
 pub mod usage;
 
 use std::sync::Arc;
@@ -29,6 +32,7 @@
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     usage: Arc<usage::UsageWindows>,
+    orders: Arc<orders::Orders>,
     metrics: Metrics,
     client: Client,
 }
@@ -54,7 +58,7 @@
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
         let usage = usage::UsageWindows::new(
-            log,
+            log.clone(),
             sink,
             Arc::clone(&leases),
             Arc::clone(&config),
@@ -68,13 +72,24 @@
             instances,
             &metrics.meter(),
         );
+        let servers = HttpServers::new(&client, &settings.platform.servers);
+        let orders = orders::Orders {
+            log,
+            servers: Arc::new(servers.clone()),
+            leases: Arc::clone(&leases),
+            config: Arc::clone(&config),
+            peers: Arc::clone(&peers),
+            client: client.clone(),
+            counts: orders::OrderMetrics::new(&metrics.meter()),
+        };
         Ok(Self {
             incarnation,
+            orders: Arc::new(orders),
             config,
             peers,
             leases,
             usage: Arc::new(usage),
-            servers: HttpServers::new(&client, &settings.platform.servers),
+            servers,
             client,
             metrics,
             settings,
@@ -93,6 +108,11 @@
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
         tokio::spawn(Arc::clone(&control.usage).run());
+        let orders = Arc::clone(&control.orders);
+        let log = Arc::clone(&orders.log);
+        let (config, leases) = (Arc::clone(&orders.config), Arc::clone(&orders.leases));
+        tokio::spawn(snapshot::run(log, config, leases));
+        tokio::spawn(orders.run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let rounds = Rounds::new(
--- /dev/null
+++ b/src/control/orders/send.rs
@@ -0,0 +1,200 @@
+//! Carries one action out: intent, read back, order, outcome.
+
+use std::time::{Duration, Instant};
+
+use opentelemetry::KeyValue;
+
+use super::{LACKING, Orders, Reign};
+use crate::control::plan::Action;
+use crate::edge::{EdgeResult, Stream};
+use crate::log::{Backoff, OrderFold};
+use crate::util::step;
+use crate::wire::{
+    Order, OrderAction, OrderBody, OrderOutcome, OrderRecord, OrderResult, Price, ServerList,
+};
+
+/// Time within which an intent must be read back.
+const READ_BACK: Duration = Duration::from_secs(3);
+/// Time for which one read waits for the intent.
+const READ_WAIT: Duration = Duration::from_millis(200);
+
+impl Orders {
+    /// Resolves intents without an outcome, before anything new is ordered.
+    ///
+    /// What the platform lists took effect. What it does not list is sent again with the
+    /// same order id, which has one effect however often it arrives; a stop only if its
+    /// server is still marked as leaving.
+    pub(super) async fn resolve(
+        &self,
+        reign: &mut Reign,
+        fold: &mut OrderFold,
+        list: &ServerList,
+    ) -> EdgeResult<()> {
+        let open: Vec<Order> = fold.open().values().map(|i| i.order.clone()).collect();
+        for order in open {
+            let known = list.orders.iter().find(|result| result.order == order.id);
+            let outcome = match known {
+                Some(result) => {
+                    self.conclude(fold, result.clone()).await?;
+                    "listed"
+                }
+                None if self.is_wanted(&order, list) => {
+                    if !self.send(reign, fold, order.clone()).await? {
+                        return Ok(());
+                    }
+                    "sent again"
+                }
+                None => {
+                    let outcome = OrderOutcome::Abandoned;
+                    let order = order.id.clone();
+                    let server = None;
+                    let result = OrderResult {
+                        order,
+                        outcome,
+                        server,
+                    };
+                    self.conclude(fold, result).await?;
+                    "abandoned"
+                }
+            };
+            spdlog::info!("intent resolved", kv: { order = order.id, outcome });
+            let labels = [KeyValue::new("outcome", outcome)];
+            self.counts.resolved.add(1, &labels);
+        }
+        Ok(())
+    }
+
+    fn is_wanted(&self, order: &Order, list: &ServerList) -> bool {
+        let state = self.config.state();
+        match &order.action {
+            OrderAction::Start { pool, .. } => {
+                let have = list.servers.iter().filter(|s| s.pool == *pool).count() as u64;
+                let spec = state.manifest.pools.get(pool.as_str());
+                spec.is_some_and(|spec| have < spec.max)
+            }
+            OrderAction::Stop { server } => {
+                let is_listed = list.servers.iter().any(|s| s.id == *server);
+                is_listed && state.leaving.contains(server.as_str())
+            }
+        }
+    }
+
+    /// Carries an action out; returns whether the lease still holds.
+    pub(super) async fn carry_out(
+        &self,
+        reign: &mut Reign,
+        fold: &mut OrderFold,
+        action: Action,
+    ) -> EdgeResult<bool> {
+        if self.held(reign.claim).is_none() {
+            return Ok(false);
+        }
+        let action = match action {
+            Action::Mark { server, leaving } => {
+                self.mark(&server, leaving).await;
+                return Ok(true);
+            }
+            Action::Start { pool, zone, cheap } => OrderAction::Start {
+                pool: pool.to_string(),
+                price: if cheap { Price::Cheap } else { Price::Regular },
+                zone: zone.to_string(),
+            },
+            Action::Stop { server } => OrderAction::Stop {
+                server: server.to_string(),
+            },
+        };
+        let order = Order {
+            action,
+            fence: reign.claim,
+            id: crate::util::random_id(),
+        };
+        self.send(reign, fold, order).await
+    }
+
+    /// Writes the intent, reads it back, sends the order and writes its outcome.
+    ///
+    /// Returns whether the lease still holds. An order without an answer stays open.
+    async fn send(
+        &self,
+        reign: &mut Reign,
+        fold: &mut OrderFold,
+        mut order: Order,
+    ) -> EdgeResult<bool> {
+        order.fence = reign.claim;
+        step("before-intent").await;
+        let intent = OrderBody::Intent {
+            claim: reign.claim,
+            order: order.clone(),
+        };
+        if !self.write(fold, intent).await? {
+            return Ok(false);
+        }
+        step("after-intent").await;
+        let Some(held) = self.held(reign.claim) else {
+            return Ok(false);
+        };
+        step("before-send").await;
+        let answer = self.servers.order(order.clone(), held).await;
+        step("after-send").await;
+        let result = answer?;
+        reign.note(&order, &result);
+        self.conclude(fold, result).await?;
+        Ok(self.held(reign.claim).is_some())
+    }
+
+    async fn conclude(&self, fold: &mut OrderFold, result: OrderResult) -> EdgeResult<()> {
+        step("before-outcome").await;
+        let labels = [KeyValue::new("outcome", result.outcome.to_string())];
+        self.counts.orders.add(1, &labels);
+        let body = OrderBody::Outcome {
+            order: result.order,
+            outcome: result.outcome,
+            server: result.server,
+        };
+        self.write(fold, body).await?;
+        Ok(())
+    }
+
+    /// Appends a record and reads it back; returns whether that worked in time.
+    async fn write(&self, fold: &mut OrderFold, body: OrderBody) -> EdgeResult<bool> {
+        let id = crate::util::random_id();
+        let record = OrderRecord {
+            id: id.clone(),
+            body,
+        };
+        let text = serde_json::to_string(&record).unwrap_or_default();
+        // Whatever this answers, only the record read back counts.
+        let appended = self.log.append(Stream::Orders, text).await;
+        let until = Instant::now() + READ_BACK;
+        let mut backoff = Backoff::default();
+        while Instant::now() < until {
+            let read = self.log.read(Stream::Orders, fold.next(), READ_WAIT);
+            match read.await {
+                Ok(page) => fold.apply_page(&page),
+                Err(_) => backoff.pause().await,
+            }
+            if fold.is_folded(&id) {
+                return Ok(true);
+            }
+        }
+        appended.map(|_| false)
+    }
+}
+
+impl Reign {
+    /// Takes note of where cheap servers are lacking.
+    fn note(&mut self, order: &Order, result: &OrderResult) {
+        spdlog::info!("order answered", kv: {
+            order = order.id,
+            fence = order.fence,
+            outcome = result.outcome.to_string(),
+        });
+        let OrderAction::Start { pool, price, zone } = &order.action else {
+            return;
+        };
+        if *price == Price::Cheap && result.outcome == OrderOutcome::Refused {
+            let place = (pool.as_str().into(), zone.as_str().into());
+            self.lacking.insert(place, Instant::now() + LACKING);
+        }
+    }
+}
--- a/src/edge/fenced.rs
+++ b/src/edge/fenced.rs
@@ -18,6 +18,7 @@
 use tokio::time::{timeout, timeout_at};
 
 use crate::lease::{Held, MARGIN};
+use crate::util::step;
 
 /// Time after which the kernel drops bytes that the other side has not acknowledged.
 const UNACKNOWLEDGED: Duration = MARGIN.checked_div(2).expect("two is not zero");
@@ -72,6 +73,7 @@
     /// [`FencedError::Connect`] say that nothing was sent.
     pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, FencedError> {
         let stream = self.connect(&request).await?;
+        step("connected").await;
         let sent = timeout(ANSWER_TIMEOUT, exchange(stream, request));
         sent.await.unwrap_or(Err(FencedError::Timeout))
     }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod generate;
 mod leak;
 mod limit;
+mod marked;
 mod metrics;
 mod others;
 mod path;
@@ -79,10 +80,13 @@
     pub fn new(settings: Settings) -> std::io::Result<Self> {
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
-        let servers = HttpServers::new(&client, &settings.platform.servers);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let incarnation = Incarnation::random();
         let config = Arc::new(ConfigLog::new(log.clone()));
+        let marked = marked::MarkedServers {
+            inner: HttpServers::new(&client, &settings.platform.servers),
+            config: Arc::clone(&config),
+        };
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
         let peers = Peers::new(
             &settings,
@@ -99,7 +103,7 @@
             drain: Arc::default(),
             hold: drain::HoldBound::default(),
             log,
-            servers: ServerTable::new(Arc::new(servers)),
+            servers: ServerTable::new(Arc::new(marked)),
             usage: UsageCounters::default(),
             appends: tokio::sync::Mutex::default(),
             usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -14,6 +14,9 @@
 /// Most samples of one round.
 const ROUND_SAMPLES_MAX: u64 = 65_536;
 
+/// Ids of records whose repeats change nothing; every reader keeps the same ones.
+const RECENT_KEPT: usize = 256;
+
 /// What is known of a key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct KeyInfo {
@@ -44,6 +47,8 @@
     pub rounds: BTreeMap<String, RoundEntry>,
     /// Backend servers that are marked as leaving and get no new work.
     pub leaving: BTreeSet<ServerId>,
+    /// Ids of the last records.
+    recent: VecDeque<Arc<str>>,
 }
 
 impl ConfigState {
@@ -71,6 +76,7 @@
             keys: self.keys.iter().map(key_entry).collect(),
             rounds: self.rounds.values().cloned().collect(),
             leaving: self.leaving.iter().map(ServerId::to_string).collect(),
+            recent: self.recent.iter().map(ToString::to_string).collect(),
         }
     }
 }
@@ -117,7 +123,7 @@
             spdlog::warn!("unreadable record skipped", kv: { offset });
             return;
         };
-        if self.verdict(&record.id).is_some() {
+        if self.is_repeated(&record.id) {
             return;
         }
         let verdict = self.fold(offset, record.body);
@@ -144,10 +150,24 @@
             keys: snapshot.keys.into_iter().map(key_info).collect(),
             rounds: snapshot.rounds.into_iter().map(round_entry).collect(),
             leaving: snapshot.leaving.into_iter().map(ServerId::from).collect(),
+            recent: snapshot.recent.into_iter().map(Arc::from).collect(),
         };
         true
     }
 
+    /// Whether a record with this id was folded lately; it is now in any case.
+    fn is_repeated(&mut self, id: &str) -> bool {
+        let recent = &mut self.state.recent;
+        if recent.iter().any(|known| &**known == id) {
+            return true;
+        }
+        if recent.len() == RECENT_KEPT {
+            recent.pop_front();
+        }
+        recent.push_back(id.into());
+        false
+    }
+
     fn remember(&mut self, id: String, verdict: Verdict) {
         if self.verdicts.len() == VERDICTS_KEPT {
             self.verdicts.pop_front();
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod config;
 mod lease;
+mod orders;
 mod snapshot;
 mod tail;
 mod usage;
@@ -10,6 +11,7 @@
 pub use backoff::Backoff;
 pub use config::{ConfigFold, ConfigState, KeyInfo};
 pub use lease::{Lease, LeaseChange, LeaseFold};
+pub use orders::{Intent, OrderFold, Started};
 pub use snapshot::SnapshotClock;
 pub use tail::{ConfigLog, Freshness};
 pub use usage::{CLOSINGS_KEPT, UsageFold, UsageReader};
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::{Backoff, ConfigFold, ConfigState};
+use super::{Backoff, ConfigFold, ConfigState, SnapshotClock};
 use crate::edge::{EdgeResult, Log, Stream};
 use crate::wire::{ConfigBody, ConfigRecord, ConfigSnapshot, LogPage, Verdict};
 
@@ -50,6 +50,9 @@
     state: ArcSwap<ConfigState>,
     next: watch::Sender<u64>,
     freshness: Freshness,
+    /// After a gap, the offset up to which a snapshot was searched.
+    gap: Mutex<Option<u64>>,
+    snapshots: Mutex<SnapshotClock>,
 }
 
 impl ConfigLog {
@@ -65,6 +68,8 @@
                 seen: Mutex::new(None),
                 read: Mutex::new(None),
             },
+            gap: Mutex::new(None),
+            snapshots: Mutex::default(),
         }
     }
 
@@ -138,7 +143,7 @@
 
     /// Reads one page and folds it.
     async fn step(&self) -> EdgeResult<()> {
-        let from = self.state.load().next;
+        let from = self.from();
         let asked = Instant::now();
         let page = self.log.read(Stream::Config, from, POLL_WAIT).await?;
         *self.freshness.read.lock() = Some(Instant::now());
@@ -149,20 +154,72 @@
         Ok(())
     }
 
+    /// The offset to read from: after what is folded, or after what was searched.
+    fn from(&self) -> u64 {
+        let next = self.state.load().next;
+        self.gap.lock().map_or(next, |searched| searched.max(next))
+    }
+
     fn fold_page(&self, page: &LogPage) {
         let mut fold = self.fold.lock();
         let before = fold.state().next;
         if page.first > before {
-            restore_first(&mut fold, page);
-        }
-        for entry in &page.records {
-            fold.apply(entry.offset, &entry.data);
+            self.search(&mut fold, page);
+        } else {
+            *self.gap.lock() = None;
+            for entry in &page.records {
+                fold.apply(entry.offset, &entry.data);
+            }
         }
         let changed = fold.state().next != before;
         drop(fold);
         if changed {
             self.publish();
         }
+        self.snapshots.lock().observe(page, last_snapshot(page));
+    }
+
+    /// Searches a page after a gap for a snapshot that closes it.
+    ///
+    /// The records that follow the snapshot's offset are then read again. Until then the
+    /// old state stays, and its head is not confirmed.
+    fn search(&self, fold: &mut ConfigFold, page: &LogPage) {
+        let found = page.records.iter().rev().find_map(|entry| {
+            let (upto, state) = snapshot_of(&entry.data)?;
+            (upto >= page.first).then_some((upto, state))
+        });
+        let mut gap = self.gap.lock();
+        let Some((upto, state)) = found else {
+            if gap.is_none() {
+                spdlog::error!("configuration records expired", kv: { first = page.first });
+            }
+            let last = page.records.last().map(|entry| entry.offset + 1);
+            *gap = Some(last.unwrap_or(page.first).max(gap.unwrap_or(0)));
+            return;
+        };
+        spdlog::info!("snapshot restored", kv: { upto });
+        fold.restore(upto, state);
+        *gap = None;
+    }
+
+    /// Whether the records between what is folded and what the log keeps have expired.
+    #[must_use]
+    pub fn has_gap(&self) -> bool {
+        self.gap.lock().is_some()
+    }
+
+    /// The snapshot to append, if one is due; it counts as appended.
+    #[must_use]
+    pub fn due_snapshot(&self, now: Instant) -> Option<ConfigRecord> {
+        let state = self.state();
+        let is_due = !self.has_gap() && self.snapshots.lock().take_due(state.next, now);
+        is_due.then(|| ConfigRecord {
+            id: crate::util::random_id(),
+            body: ConfigBody::Snapshot {
+                state: state.snapshot(),
+                upto: state.next,
+            },
+        })
     }
 
     fn publish(&self) {
@@ -173,15 +230,16 @@
     }
 }
 
-/// Restores the newest snapshot of a page that starts after what was folded.
-fn restore_first(fold: &mut ConfigFold, page: &LogPage) {
-    for entry in page.records.iter().rev() {
-        let Ok(record) = serde_json::from_str::<ConfigRecord>(&entry.data) else {
-            continue;
-        };
-        if let ConfigBody::Snapshot { upto, state } = record.body {
-            fold.restore(upto, state);
-            return;
-        }
+fn snapshot_of(data: &str) -> Option<(u64, ConfigSnapshot)> {
+    match serde_json::from_str::<ConfigRecord>(data).ok()?.body {
+        ConfigBody::Snapshot { state, upto } => Some((upto, state)),
+        _ => None,
     }
 }
+
+/// The offset of a page's last snapshot.
+fn last_snapshot(page: &LogPage) -> Option<u64> {
+    let mut records = page.records.iter().rev();
+    let found = records.find(|entry| snapshot_of(&entry.data).is_some());
+    found.map(|entry| entry.offset)
+}
--- a/src/standin/faults.rs
+++ b/src/standin/faults.rs
@@ -7,6 +7,8 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
+use crate::wire::Price;
+
 /// An interface of the platform.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -52,6 +54,39 @@
     pub faults: Faults,
 }
 
+/// How many records of a stream the log keeps.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetRetention {
+    /// The stream.
+    pub stream: String,
+    /// Records kept; all when there is none.
+    #[serde(default)]
+    pub keep: Option<usize>,
+}
+
+/// How many servers of a price can still be started in an availability zone.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SetCapacity {
+    /// The availability zone.
+    pub zone: String,
+    /// The price.
+    pub price: Price,
+    /// Servers left.
+    pub left: u32,
+}
+
+/// Reclaims the cheap servers of an availability zone.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Reclaim {
+    /// The availability zone.
+    pub zone: String,
+    /// Milliseconds from the notice to the reclaim.
+    pub notice_ms: u64,
+}
+
 /// The faults in force.
 #[derive(Debug, Default)]
 pub struct FaultTable {
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -1,23 +1,28 @@
 //! The backend servers behind the backend server interface, all in this process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
+use crate::util::unix_ms;
 use crate::wire::{
     BackendServer, Order, OrderAction, OrderOutcome, OrderResult, Price, ServerList, ServerState,
 };
 
 use super::engine::{Engine, EngineConfig};
+use super::faults::{Reclaim, SetCapacity};
 use super::serve::Served;
 use super::service::{self, ServiceRecord};
 use super::weights::WeightStore;
 
+/// Earlier lists that are kept.
+const LISTS_KEPT: usize = 100;
+
 /// What the servers of a pool are.
 #[derive(Clone, Debug)]
 pub enum PoolStandin {
@@ -58,6 +63,12 @@
     results: Mutex<Vec<OrderResult>>,
     orders: Mutex<Vec<Order>>,
     sequence: Mutex<u64>,
+    /// Servers that can still be started, where that is limited.
+    left: Mutex<BTreeMap<(String, Price), u32>>,
+    /// Earlier lists, for a list that lags.
+    lists: Mutex<VecDeque<(Instant, ServerList)>>,
+    /// Held while an order takes effect.
+    turn: tokio::sync::Mutex<()>,
 }
 
 impl Fleet {
@@ -73,6 +84,9 @@
             results: Mutex::default(),
             orders: Mutex::default(),
             sequence: Mutex::new(0),
+            left: Mutex::default(),
+            lists: Mutex::default(),
+            turn: tokio::sync::Mutex::const_new(()),
         })
     }
 
@@ -123,6 +137,7 @@
             _served: Some(served),
         };
         self.members.lock().insert(id.clone(), member);
+        self.note_list();
         Ok(id)
     }
 
@@ -149,11 +164,67 @@
     /// Breaks a server: its port closes and its connections break.
     pub fn crash(&self, id: &str) {
         self.members.lock().remove(id);
+        self.note_list();
+    }
+
+    /// Limits the servers that can be started.
+    pub fn limit(&self, set: &SetCapacity) {
+        let place = (set.zone.clone(), set.price);
+        self.left.lock().insert(place, set.left);
     }
 
-    /// Lists servers and the orders that took effect.
+    /// Gives the cheap servers of a zone notice, then breaks them.
+    pub fn reclaim(self: &Arc<Self>, reclaim: &Reclaim) {
+        let mut ids = Vec::new();
+        for member in self.members.lock().values_mut() {
+            if member.listed.zone == reclaim.zone && member.listed.price == Price::Cheap {
+                member.listed.notice_ms = Some(unix_ms() + reclaim.notice_ms);
+                ids.push(member.listed.id.clone());
+            }
+        }
+        self.note_list();
+        let (fleet, notice) = (Arc::clone(self), Duration::from_millis(reclaim.notice_ms));
+        tokio::spawn(async move {
+            tokio::time::sleep(notice).await;
+            for id in &ids {
+                fleet.crash(id);
+            }
+        });
+    }
+
+    /// Takes one of the servers that can still be started.
+    fn take_left(&self, zone: &str, price: Price) -> bool {
+        let mut left = self.left.lock();
+        let Some(left) = left.get_mut(&(zone.to_owned(), price)) else {
+            return true;
+        };
+        let some = *left > 0;
+        *left = left.saturating_sub(1);
+        some
+    }
+
+    fn note_list(&self) {
+        let list = self.list_now();
+        let mut lists = self.lists.lock();
+        lists.push_back((Instant::now(), list));
+        if lists.len() > LISTS_KEPT {
+            lists.pop_front();
+        }
+    }
+
+    /// Lists servers and the orders that took effect, as of `lag` ago.
     #[must_use]
-    pub fn list(&self) -> ServerList {
+    pub fn list(&self, lag: Duration) -> ServerList {
+        if lag.is_zero() {
+            return self.list_now();
+        }
+        let lists = self.lists.lock();
+        let old = lists.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+        let old = old.or(lists.front()).map(|(_, list)| list.clone());
+        old.unwrap_or_else(|| self.list_now())
+    }
+
+    fn list_now(&self) -> ServerList {
         let members = self.members.lock();
         ServerList {
             orders: self.results.lock().clone(),
@@ -178,8 +249,14 @@
         engines.map(|engine| engine.generated()).sum()
     }
 
+    /// Notes that an order arrived.
+    pub fn note(&self, order: Order) {
+        self.orders.lock().push(order);
+    }
+
     /// Carries out an order; a repeated order has the effect of the first.
     pub async fn order(self: &Arc<Self>, order: Order) -> OrderResult {
+        let _turn = self.turn.lock().await;
         let known = {
             let results = self.results.lock();
             results
@@ -187,11 +264,11 @@
                 .find(|result| result.order == order.id)
                 .cloned()
         };
-        self.orders.lock().push(order.clone());
         if let Some(known) = known {
             return known;
         }
         let server = match &order.action {
+            OrderAction::Start { price, zone, .. } if !self.take_left(zone, *price) => None,
             OrderAction::Start { pool, price, zone } => self.start(pool, zone, *price).await.ok(),
             OrderAction::Stop { server } => {
                 let removed = self.members.lock().remove(server);
@@ -208,6 +285,7 @@
             server,
         };
         self.results.lock().push(result.clone());
+        self.note_list();
         result
     }
 }
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 struct Records {
     first: u64,
+    /// Records that are kept; all when there is no limit.
+    keep: Option<usize>,
     data: VecDeque<String>,
 }
 
@@ -21,6 +23,14 @@
     fn next(&self) -> u64 {
         self.first + self.data.len() as u64
     }
+
+    fn expire(&mut self) {
+        let keep = self.keep.unwrap_or(usize::MAX);
+        while self.data.len() > keep {
+            self.data.pop_front();
+            self.first += 1;
+        }
+    }
 }
 
 /// All streams of the log.
@@ -46,19 +56,18 @@
         let records = streams.entry(stream.to_owned()).or_default();
         let offset = records.next();
         records.data.push_back(record);
+        records.expire();
         drop(streams);
         self.changed.send_modify(|count| *count += 1);
         offset
     }
 
-    /// Drops all but the last `keep` records of a stream.
-    pub fn expire(&self, stream: &str, keep: usize) {
+    /// Keeps only the last `keep` records of a stream from now on.
+    pub fn retain(&self, stream: &str, keep: Option<usize>) {
         let mut streams = self.streams.lock();
         let records = streams.entry(stream.to_owned()).or_default();
-        while records.data.len() > keep {
-            records.data.pop_front();
-            records.first += 1;
-        }
+        records.keep = keep;
+        records.expire();
     }
 
     /// Records from an offset on, waiting for the first one.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -10,11 +10,12 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
 
-use crate::wire::{Appended, Instance, Price, UsageReport};
+use crate::wire::{Appended, Instance, Order, Price, UsageReport};
 
 use super::engine::EngineConfig;
-use super::faults::{FaultTable, Interface, SetFaults};
+use super::faults::{FaultTable, Interface, SetRetention};
 use super::fleet::{Fleet, PoolStandin};
 use super::log::LogStore;
 use super::serve::{self, Answer, Served, json, query, whole};
@@ -110,7 +111,12 @@
             "instances" => self.instances_call(call).await,
             "servers" => self.servers_call(call).await,
             "usage" => self.usage_call(call).await,
-            "fault" => Ok(self.fault_call(&call)),
+            "fault" => Ok(set(&call, |set| self.faults.set(set))),
+            "retain" => Ok(set(&call, |set: SetRetention| {
+                self.log.retain(&set.stream, set.keep);
+            })),
+            "capacity" => Ok(set(&call, |set| self.fleet.limit(&set))),
+            "reclaim" => Ok(set(&call, |reclaim| self.fleet.reclaim(&reclaim))),
             "crash" => {
                 self.fleet.crash(rest);
                 Ok(json(&()))
@@ -123,16 +129,6 @@
         }
     }
 
-    fn fault_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match serde_json::from_str::<SetFaults>(&call.body) {
-            Ok(set) => {
-                self.faults.set(set);
-                json(&())
-            }
-            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
-        }
-    }
-
     async fn log_call(self: Arc<Self>, call: Call<'_>) -> Answer {
         let faults = self.faults.before(Interface::Log, call.instance).await?;
         if !call.post {
@@ -168,13 +164,21 @@
     }
 
     async fn servers_call(&self, call: Call<'_>) -> Answer {
-        self.faults
-            .before(Interface::Servers, call.instance)
-            .await?;
+        let order = serde_json::from_str::<Order>(&call.body);
+        let is_down = self.faults.get(Interface::Servers, call.instance).down;
+        if let Ok(order) = &order
+            && !is_down
+        {
+            // Noted as it arrives, however slow the interface is then.
+            self.fleet.note(order.clone());
+        }
+        let faults = self.faults.before(Interface::Servers, call.instance);
+        let faults = faults.await?;
         if !call.post {
-            return Ok(json(&self.fleet.list()));
+            let lag = Duration::from_millis(faults.lag_ms);
+            return Ok(json(&self.fleet.list(lag)));
         }
-        match serde_json::from_str(&call.body) {
+        match order {
             Ok(order) => {
                 let result = self.fleet.order(order).await;
                 self.faults.after(Interface::Servers, call.instance)?;
@@ -209,6 +213,17 @@
     body: String,
 }
 
+/// Takes a setting over from a call's body.
+fn set<T: DeserializeOwned>(call: &Call<'_>, take: impl FnOnce(T)) -> Response<serve::Body> {
+    match serde_json::from_str(&call.body) {
+        Ok(setting) => {
+            take(setting);
+            json(&())
+        }
+        Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
 /// Serves until the process is told to stop.
 ///
 /// # Errors
--- a/src/util.rs
+++ b/src/util.rs
@@ -59,3 +59,20 @@
     }
     Ok(())
 }
+
+/// A named step of the product at which tests may hold it up or stop it.
+///
+/// Only with the feature `failpoints` and `FAILPOINTS="NAME=return(MILLISECONDS)"` does it
+/// pause; else it does nothing.
+pub async fn step(name: &str) {
+    #[cfg(feature = "failpoints")]
+    {
+        let millis = fail::eval(name, |arg| arg.and_then(|arg| arg.parse().ok()));
+        if let Some(millis) = millis.flatten() {
+            spdlog::info!("failpoint", kv: { name });
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+        }
+    }
+    #[cfg(not(feature = "failpoints"))]
+    let _ = name;
+}
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -91,6 +91,9 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub leaving: ::std::vec::Vec<::std::string::String>,
     pub manifest: ::std::string::String,
+    #[doc = "Ids of the last records, so that repeats stay without effect."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub recent: ::std::vec::Vec<::std::string::String>,
     pub revision: u64,
     pub rounds: ::std::vec::Vec<RoundEntry>,
 }
--- /dev/null
+++ b/tests/suite/config_log.rs
@@ -0,0 +1,160 @@
+//! Configuration through a log with faults.
+
+use std::time::Duration;
+
+use basillead::wire::{LogPage, Published, Status, Verdict};
+use http::Method;
+use serde_json::json;
+
+use crate::lease::wait_held;
+use crate::workdir::{MANIFEST, OPERATOR_KEY, Workdir, wait_until, wait_within};
+
+/// What "within seconds" means.
+const SECONDS: Duration = Duration::from_secs(5);
+
+fn status(dir: &Workdir, n: usize) -> Option<Status> {
+    let url = format!("{}/operator/status", dir.control_url(n));
+    let answer = dir.call(Method::GET, &url, Some(OPERATOR_KEY), &[], "")?;
+    serde_json::from_slice(answer.body()).ok()
+}
+
+fn submit(dir: &Workdir, n: usize, id: &str, base: u64, text: &str) -> Option<Verdict> {
+    let record = json!({"id": id, "body": {"kind": "manifest", "base": base, "text": text}});
+    let url = format!("{}/operator/records", dir.control_url(n));
+    let answer = dir.call(
+        Method::POST,
+        &url,
+        Some(OPERATOR_KEY),
+        &[],
+        &record.to_string(),
+    );
+    let published: Published = serde_json::from_slice(answer?.body()).ok()?;
+    Some(published.verdict)
+}
+
+fn fault(dir: &Workdir, faults: &serde_json::Value) {
+    dir.platform_post("fault", &json!({"interface": "log", "faults": faults}));
+}
+
+#[test]
+fn config_operators_race() {
+    let dir = Workdir::new("race");
+    let _platform = dir.platform(2, 2, &[]);
+    let _controls = [dir.control(0, 2), dir.control(1, 2)];
+    let _entries = [dir.entry(0, 2), dir.entry(1, 2)];
+    let mut base = 0;
+    for race in 0..10 {
+        let submit = |n: usize| {
+            let text = MANIFEST.replace("weight = 2", &format!("weight = {}", 2 + n));
+            let text = text.replace("base = 0", &format!("base = {base}"));
+            submit(&dir, n, &format!("r{race}-{n}"), base, &text)
+        };
+        let verdicts = std::thread::scope(|scope| {
+            let asked = [0, 1].map(|n| scope.spawn(move || submit(n)));
+            asked.map(|asked| asked.join().expect("a call").expect("a verdict"))
+        });
+        let accepted: Vec<u64> = verdicts
+            .iter()
+            .filter_map(|verdict| match verdict {
+                Verdict::Accepted { revision, .. } => Some(*revision),
+                _ => None,
+            })
+            .collect();
+        let conflicts = verdicts
+            .iter()
+            .filter(|v| matches!(v, Verdict::Conflict { .. }));
+        assert_eq!((accepted.len(), conflicts.count()), (1, 1), "{verdicts:?}");
+        base = accepted[0];
+    }
+    wait_within("the same state", SECONDS, || {
+        let all = [0, 1].map(|n| status(&dir, n).map(|s| (s.revision, s.manifest)));
+        all[0].is_some() && all[0] == all[1]
+    });
+}
+
+#[test]
+fn config_faulty_appends() {
+    let dir = Workdir::new("faulty");
+    let _platform = dir.platform(1, 1, &[]);
+    let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
+    let cases = [
+        ("answers lost", json!({"lose_answers": 2})),
+        ("appends late", json!({"late_ms": 1500})),
+        ("slow", json!({"slow_ms": 300})),
+    ];
+    let mut base = 0;
+    for (case, faults) in cases {
+        fault(&dir, &faults);
+        let verdict = submit(&dir, 0, case, base, MANIFEST);
+        fault(&dir, &json!({}));
+        let Some(Verdict::Accepted { revision, .. }) = verdict else {
+            panic!("{case}: {verdict:?}");
+        };
+        base = revision;
+    }
+    // Repeated and late copies of the last manifests change nothing.
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(status(&dir, 0).map(|s| s.revision), Some(base));
+}
+
+#[test]
+fn config_log_down_and_back() {
+    let dir = Workdir::new("down");
+    let _platform = dir.platform(1, 1, &[]);
+    let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
+    fault(&dir, &json!({"down": true}));
+    let verdict = std::thread::scope(|scope| {
+        let asked = scope.spawn(|| submit(&dir, 0, "m", 0, MANIFEST));
+        std::thread::sleep(Duration::from_secs(3));
+        fault(&dir, &json!({}));
+        asked.join().expect("a call")
+    });
+    assert!(
+        matches!(verdict, Some(Verdict::Accepted { .. })),
+        "{verdict:?}"
+    );
+}
+
+#[test]
+fn config_survives_retention() {
+    let dir = Workdir::new("retention");
+    let _platform = dir.platform(2, 2, &[]);
+    let first = dir.control(0, 2);
+    let _entries = [dir.entry(0, 2), dir.entry(1, 2)];
+    wait_held(&dir, 0, "servers");
+    for stream in ["config", "leases"] {
+        dir.platform_post("retain", &json!({"stream": stream, "keep": 12}));
+    }
+    let mut base = 0;
+    let page = || dir.platform_get::<LogPage>("log/config?from=0");
+    let mut change = 0;
+    while page().first < 40 {
+        let text = MANIFEST.replace("base = 0", &format!("base = {base}"));
+        let verdict = submit(&dir, 0, &format!("c{change}"), base, &text);
+        let Some(Verdict::Accepted { revision, .. }) = verdict else {
+            panic!("{verdict:?}");
+        };
+        (base, change) = (revision, change + 1);
+        // Slower than the check for snapshots: fewer than 12 changes in its second.
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let want = status(&dir, 0).map(|s| (s.revision, s.manifest));
+    // A process that starts now cannot read the first records any more.
+    let _second = dir.control(1, 2);
+    wait_within("restored", SECONDS, || {
+        status(&dir, 1).map(|s| (s.revision, s.manifest)) == want
+    });
+    wait_until("leases expired", || {
+        dir.platform_get::<LogPage>("log/leases?from=0").first > 0
+    });
+    drop(first);
+    wait_held(&dir, 1, "servers");
+    let text = MANIFEST.replace("base = 0", &format!("base = {base}"));
+    let verdict = submit(&dir, 1, "last", base, &text);
+    assert!(
+        matches!(verdict, Some(Verdict::Accepted { .. })),
+        "{verdict:?}"
+    );
+}
--- /dev/null
+++ b/tests/suite/lease.rs
@@ -0,0 +1,80 @@
+//! Leases of real control daemons.
+
+use std::time::{Duration, Instant};
+
+use basillead::wire::LogPage;
+
+use crate::workdir::{Workdir, wait_until, wait_within};
+
+/// What "within seconds" means.
+const SECONDS: Duration = Duration::from_secs(5);
+/// Time until a successor may claim: lease, margin and stagger, and seconds to do so.
+const TAKEOVER: Duration = Duration::from_secs(7 + 5);
+
+/// Waits until control daemon `n` holds a role.
+pub fn wait_held(dir: &Workdir, n: usize, role: &str) {
+    wait_until(&format!("{role} held by {n}"), || is_held(dir, n, role));
+}
+
+fn is_held(dir: &Workdir, n: usize, role: &str) -> bool {
+    let log = dir.log(&format!("control{n}"));
+    let mut lines = log.lines().filter(|line| line.contains("lease held"));
+    lines.any(|line| line.contains(&format!("role={role}")))
+}
+
+fn lease_records(dir: &Workdir) -> u64 {
+    dir.platform_get::<LogPage>("log/leases?from=1000000").next
+}
+
+#[test]
+fn lease_taken_over() {
+    let dir = Workdir::new("takeover");
+    let _platform = dir.platform(2, 2, &[]);
+    let mut first = dir.control(0, 2);
+    wait_held(&dir, 0, "servers");
+    let _second = dir.control(1, 2);
+    first.0.kill().expect("it can be killed");
+    let killed = Instant::now();
+    wait_within("takeover", TAKEOVER, || is_held(&dir, 1, "servers"));
+    println!("taken over after {:?}", killed.elapsed());
+}
+
+#[test]
+fn lease_released_at_stop() {
+    let dir = Workdir::new("release");
+    let _platform = dir.platform(2, 2, &[]);
+    let mut first = dir.control(0, 2);
+    wait_held(&dir, 0, "servers");
+    let _second = dir.control(1, 2);
+    first.signal("TERM");
+    let stopped = Instant::now();
+    wait_within("handover", SECONDS, || {
+        ["servers", "usage", "weights"]
+            .iter()
+            .all(|role| is_held(&dir, 1, role))
+    });
+    println!("handed over after {:?}", stopped.elapsed());
+    assert!(first.wait(SECONDS).success());
+}
+
+#[test]
+fn lease_kept_over_outage() {
+    let dir = Workdir::new("lease-outage");
+    let _platform = dir.platform(1, 1, &[]);
+    let _control = dir.control(0, 1);
+    wait_held(&dir, 0, "servers");
+    let down = serde_json::json!({"interface": "log", "faults": {"down": true}});
+    dir.platform_post("fault", &down);
+    std::thread::sleep(Duration::from_secs(8));
+    let up = serde_json::json!({"interface": "log", "faults": {}});
+    dir.platform_post("fault", &up);
+    let held = || dir.log("control0").matches("lease held").count();
+    wait_within("held again", SECONDS, || held() >= 6);
+    // What a role costs at rest: about one renewal in two seconds.
+    let (before, started) = (lease_records(&dir), Instant::now());
+    std::thread::sleep(Duration::from_secs(10));
+    let records = lease_records(&dir) - before;
+    let seconds = started.elapsed().as_secs_f64();
+    println!("{records} lease records in {seconds:.1} s at rest");
+    assert!(records <= 20, "two appends a second are not sparse");
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,7 +3,10 @@
 
 mod bad_input;
 mod check;
+mod config_log;
 mod leak;
+mod lease;
+mod orders;
 mod path;
 mod peers;
 mod rounds;
--- /dev/null
+++ b/tests/suite/orders.rs
@@ -0,0 +1,238 @@
+//! Orders for backend servers under faults at every step.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use basillead::log::OrderFold;
+use basillead::wire::{LogPage, Order, OrderOutcome, Price, ServerList, ServerState};
+use http::Method;
+use serde_json::json;
+
+use crate::lease::wait_held;
+use crate::workdir::{Process, Workdir, wait_until, wait_within};
+
+/// What "within seconds" means.
+const SECONDS: Duration = Duration::from_secs(5);
+/// Time for which a step is held up, so that the fault hits it.
+const HOLD_MS: u64 = 3_000;
+/// Named steps of an order.
+const STEPS: [&str; 6] = [
+    "before-intent",
+    "after-intent",
+    "before-send",
+    "connected",
+    "after-send",
+    "before-outcome",
+];
+const POOL: [&str; 2] = ["--server", "p:engine:z0:0"];
+
+/// What happens to the holder at a step.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// It dies.
+    Kill,
+    /// It is frozen until a successor has acted, then goes on.
+    Freeze,
+}
+
+fn manifest(min: u64, max: u64, cheap: u64) -> String {
+    format!(
+        r#"
+base = BASE
+[limits]
+request_ms = 20000
+[[tenants]]
+name = "desk"
+[[pools]]
+name = "p"
+kind = "engine"
+zones = ["z0", "z1"]
+min = {min}
+max = {max}
+cheap_percent = {cheap}
+[[models]]
+name = "stroke-1"
+pool = "p"
+version = 1
+"#
+    )
+}
+
+/// Appends a manifest to the log and waits until it is in force.
+fn publish(dir: &Workdir, text: &str) {
+    let base = dir.revision();
+    let text = text.replace("BASE", &base.to_string());
+    let body = json!({"kind": "manifest", "base": base, "text": text});
+    let record = json!({"id": format!("m{base}"), "body": body});
+    dir.platform_post("log/config", &record);
+    wait_until("in force", || dir.revision() > base);
+}
+
+fn servers(dir: &Workdir) -> ServerList {
+    dir.platform_get("servers")
+}
+
+fn running(dir: &Workdir) -> usize {
+    servers(dir).servers.len()
+}
+
+/// Orders arrived with rising fences, and each order id had one effect.
+fn check_record(dir: &Workdir, case: &str) {
+    let orders: Vec<Order> = dir.platform_get("orders");
+    let fences: Vec<u64> = orders.iter().map(|order| order.fence).collect();
+    assert!(fences.is_sorted(), "{case}: fences {fences:?}");
+    wait_until("each intent has its outcome", || {
+        let mut fold = OrderFold::default();
+        fold.apply_page(&dir.platform_get::<LogPage>("log/orders?from=0"));
+        fold.open().is_empty()
+    });
+    let list = servers(dir);
+    let ids: BTreeSet<&str> = list.orders.iter().map(|o| o.order.as_str()).collect();
+    assert_eq!(
+        ids.len(),
+        list.orders.len(),
+        "{case}: an order had two effects"
+    );
+    let started = list
+        .orders
+        .iter()
+        .filter(|o| o.outcome == OrderOutcome::Applied);
+    let started: BTreeSet<&str> = started.filter_map(|o| o.server.as_deref()).collect();
+    assert_eq!(started.len(), list.servers.len(), "{case}: {list:?}");
+}
+
+fn run_case(step: &str, fault: Fault) {
+    let case = format!("{step}-{fault:?}");
+    let dir = Workdir::new(&case);
+    let _platform = dir.platform(2, 2, &POOL);
+    let points = format!("{step}=1*return({HOLD_MS})");
+    let mut holder = dir.control_with(0, 2, &[("FAILPOINTS", &points)]);
+    wait_held(&dir, 0, "servers");
+    let successor = dir.control(1, 2);
+    publish(&dir, &manifest(2, 2, 0));
+    wait_until(&case, || dir.log("control0").contains("failpoint"));
+    match fault {
+        Fault::Kill => holder.0.kill().expect("it can be killed"),
+        Fault::Freeze => holder.signal("STOP"),
+    }
+    wait_held(&dir, 1, "servers");
+    wait_until(&case, || running(&dir) == 2);
+    if let Fault::Freeze = fault {
+        holder.signal("CONT");
+        // The thawed holder folds this change too, and must not act on it.
+        wait_until("it answers", || {
+            dir.get(&format!("{}/healthz", dir.control_url(0)))
+                .is_some()
+        });
+    }
+    publish(&dir, &manifest(3, 3, 0));
+    wait_until(&case, || running(&dir) == 3);
+    check_record(&dir, &case);
+    drop::<Process>(successor);
+}
+
+#[test]
+fn orders_faults_at_steps() {
+    for fault in [Fault::Kill, Fault::Freeze] {
+        let cases = STEPS.map(|step| std::thread::spawn(move || run_case(step, fault)));
+        for case in cases {
+            case.join().expect("a case");
+        }
+    }
+}
+
+#[test]
+fn orders_answers_lost() {
+    let dir = Workdir::new("answers-lost");
+    let _platform = dir.platform(1, 1, &POOL);
+    let _control = dir.control(0, 1);
+    wait_held(&dir, 0, "servers");
+    let lost = json!({"interface": "servers", "faults": {"lose_answers": 2}});
+    dir.platform_post("fault", &lost);
+    publish(&dir, &manifest(3, 3, 0));
+    wait_until("three servers", || running(&dir) == 3);
+    publish(&dir, &manifest(4, 4, 0));
+    wait_until("four servers", || running(&dir) == 4);
+    check_record(&dir, "answers lost");
+}
+
+#[test]
+fn orders_lists_lag() {
+    let dir = Workdir::new("lists-lag");
+    let _platform = dir.platform(1, 1, &POOL);
+    let lag = json!({"interface": "servers", "faults": {"lag_ms": 4000}});
+    dir.platform_post("fault", &lag);
+    let _control = dir.control(0, 1);
+    wait_held(&dir, 0, "servers");
+    publish(&dir, &manifest(2, 4, 0));
+    wait_until("two listed", || running(&dir) == 2);
+    publish(&dir, &manifest(3, 4, 0));
+    wait_until("three listed", || running(&dir) == 3);
+    let orders: Vec<Order> = dir.platform_get("orders");
+    assert_eq!(orders.len(), 3, "no order for what was ordered already");
+}
+
+#[test]
+fn orders_reclaim_replaced() {
+    let dir = Workdir::new("reclaim");
+    let _platform = dir.platform(1, 1, &POOL);
+    let _control = dir.control(0, 1);
+    publish(&dir, &manifest(4, 4, 50));
+    wait_until("four servers", || running(&dir) == 4);
+    let cheap = |list: &ServerList, zone: &str| {
+        let cheap = list.servers.iter().filter(|s| s.price == Price::Cheap);
+        cheap.filter(|s| s.zone == zone).count()
+    };
+    let list = servers(&dir);
+    assert_eq!((cheap(&list, "z0"), cheap(&list, "z1")), (1, 1));
+    let none = json!({"zone": "z0", "price": "cheap", "left": 0});
+    dir.platform_post("capacity", &none);
+    dir.platform_post("reclaim", &json!({"zone": "z0", "notice_ms": 30_000}));
+    wait_within("a regular one in its place", SECONDS, || {
+        let list = servers(&dir);
+        let staying = list.servers.iter().filter(|s| s.notice_ms.is_none());
+        staying.count() == 4
+    });
+    let list = servers(&dir);
+    let staying = list.servers.iter().filter(|s| s.notice_ms.is_none());
+    assert_eq!(staying.filter(|s| s.zone == "z0").count(), 2);
+    assert_eq!(cheap(&list, "z0"), 1, "only the one that is reclaimed");
+}
+
+#[test]
+fn orders_drain_before_stop() {
+    let dir = Workdir::new("drain");
+    let _platform = dir.platform(1, 1, &["--server", "p:engine:z0:0", "--token-ms", "20"]);
+    let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
+    publish(&dir, &manifest(2, 2, 0));
+    wait_until("two servers", || running(&dir) == 2);
+    let key = dir.grant("desk");
+    let url = format!("{}/v1/completions", dir.entry_url(0));
+    let body = json!({"model": "stroke-1", "prompt": "a", "max_tokens": 400}).to_string();
+    let ask = || {
+        let answer = dir.call(Method::POST, &url, Some(&key), &[], &body);
+        answer.filter(|answer| answer.status().is_success())
+    };
+    let small = body.replace("400", "1");
+    wait_until("the key works", || {
+        let answer = dir.call(Method::POST, &url, Some(&key), &[], &small);
+        answer.is_some_and(|answer| answer.status().is_success())
+    });
+    // Eight seconds of work on each server, which goes on while one of them leaves.
+    let answers = std::thread::scope(|scope| {
+        let asked: Vec<_> = (0..4).map(|_| scope.spawn(ask)).collect();
+        std::thread::sleep(Duration::from_millis(500));
+        publish(&dir, &manifest(1, 1, 0));
+        let answers = asked.into_iter().map(|asked| asked.join().expect("a call"));
+        answers.collect::<Vec<_>>()
+    });
+    for answer in answers {
+        let answer = answer.expect("no request is cut");
+        let text = String::from_utf8_lossy(answer.body()).into_owned();
+        assert!(text.contains("\"completion_tokens\":400"), "{text}");
+    }
+    wait_until("one server", || running(&dir) == 1);
+    let list = servers(&dir);
+    assert_eq!(list.servers[0].state, ServerState::Running);
+}
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -221,6 +221,17 @@
 
     /// Starts a program; what it writes to standard error goes to `NAME.log`.
     pub fn spawn(&self, program: &str, args: &[&str], name: &str) -> Process {
+        self.spawn_with(program, args, name, &[])
+    }
+
+    /// Starts a program with further environment variables.
+    pub fn spawn_with(
+        &self,
+        program: &str,
+        args: &[&str],
+        name: &str,
+        env: &[(&str, &str)],
+    ) -> Process {
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -228,6 +239,7 @@
             .expect("a log file");
         let child = Command::new(program)
             .args(args)
+            .envs(env.iter().copied())
             .current_dir(self.dir.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -261,10 +273,15 @@
 
     /// Starts the control daemon of instance `n`.
     pub fn control(&self, n: usize, zones: usize) -> Process {
+        self.control_with(n, zones, &[])
+    }
+
+    /// Starts the control daemon of instance `n` with further environment variables.
+    pub fn control_with(&self, n: usize, zones: usize, env: &[(&str, &str)]) -> Process {
         let settings = self.settings(n, zones);
         let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
         let program = env!("CARGO_BIN_EXE_basillead-control");
-        let process = self.spawn(program, &args, &format!("control{n}"));
+        let process = self.spawn_with(program, &args, &format!("control{n}"), env);
         self.wait_http(&format!("{}/healthz", self.control_url(n)));
         process
     }
@@ -300,6 +317,17 @@
         output
     }
 
+    /// The revision in force at control daemon 1 or, if it does not run, 0.
+    pub fn revision(&self) -> u64 {
+        let status = |n| {
+            let url = format!("{}/operator/status", self.control_url(n));
+            let answer = self.call(Method::GET, &url, Some(OPERATOR_KEY), &[], "")?;
+            serde_json::from_slice::<basillead::wire::Status>(answer.body()).ok()
+        };
+        let status = status(1).or_else(|| status(0));
+        status.expect("a status").revision
+    }
+
     /// Grants a key to a tenant.
     pub fn grant(&self, tenant: &str) -> String {
         let output = self.basillead(&["key", "grant", "--tenant", tenant]);
