--- a/src/edge/fenced.rs
+++ b/src/edge/fenced.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 
+use crate::failpoint::reach;
 use crate::lease::{Held, MARGIN};
 
 /// Time after which the kernel drops bytes that the other side has not acknowledged.
@@ -72,6 +73,7 @@
     /// [`FencedError::Connect`] say that nothing was sent.
     pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, FencedError> {
         let stream = self.connect(&request).await?;
+        reach("connected").await;
         let sent = timeout(ANSWER_TIMEOUT, exchange(stream, request));
         sent.await.unwrap_or(Err(FencedError::Timeout))
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -8,7 +8,7 @@
 use http::{Method, StatusCode};
 use xitca_web::body::RequestBody;
 
-use crate::http::{Refusal, RefusalKind, Request, Response, json, read_body, refuse, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, finish, json, read_body, whole};
 use crate::log::ConfigState;
 
 use super::Entry;
@@ -82,10 +82,8 @@
         Err(refusal) => refusal.kind.to_string(),
     };
     entry.counts.request("", page.name(), &outcome);
-    match answered {
-        Ok(answer) => answer,
-        Err(refusal) => refuse(&refusal, &mut body).await,
-    }
+    let answer = answered.unwrap_or_else(|refusal| refusal.response());
+    finish(answer, &mut body).await
 }
 
 async fn dispatch(
