--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -11,4 +11,5 @@
 mod rounds;
 mod stop;
 mod trainer;
+mod usage;
 mod workdir;
