--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -186,7 +186,10 @@
             let number = |name| query(call.uri, name).and_then(|text| text.parse().ok());
             let from = number("from").unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-            return Ok(json(&self.log.read(call.rest, from, wait).await));
+            let page = self.log.read(call.rest, from, wait).await;
+            // An outage that began during the wait cuts the answer off too.
+            self.faults.before(Interface::Log, call.instance).await?;
+            return Ok(json(&page));
         }
         if faults.late_ms > 0 {
             let (platform, stream) = (Arc::clone(&self), call.rest.to_owned());
