--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,7 @@
 mod publish;
 mod remote;
 mod replay;
+mod round;
 mod schema;
 mod status;
 mod usage;
@@ -41,6 +42,8 @@
     Publish(publish::Args),
     #[options(help = "grant, withdraw or list keys")]
     Key(key::Args),
+    #[options(help = "create, show or cancel rollout rounds")]
+    Round(round::Args),
     #[options(help = "print the JSON Schema of manifests or settings")]
     Schema(schema::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
@@ -64,6 +67,7 @@
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(&args),
         Command::Key(args) => key::run(&args),
+        Command::Round(args) => round::run(&args),
         Command::Schema(args) => schema::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Usage(args) => usage::run(&args),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod leases;
 mod operator;
+mod rounds;
 mod serve;
 pub mod usage;
 
@@ -11,8 +12,12 @@
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
+
+use rounds::Rounds;
 
 /// All state of one control daemon.
 #[derive(Debug)]
@@ -20,10 +25,12 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     usage: Arc<usage::UsageWindows>,
     metrics: Metrics,
+    client: Client,
 }
 
 impl Control {
@@ -35,10 +42,15 @@
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
-        let leases = leases::Leases::new(log.clone(), instances, &settings.instance, &incarnation);
+        let leases = leases::Leases::new(
+            log.clone(),
+            instances.clone(),
+            &settings.instance,
+            &incarnation,
+        );
         let leases = Arc::new(leases);
-        let config = Arc::new(ConfigLog::new(log.clone()));
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
         let usage = usage::UsageWindows::new(
@@ -48,12 +60,22 @@
             Arc::clone(&config),
             &metrics.meter(),
         );
+        let peers = Peers::new(
+            &settings,
+            Daemon::Control,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
             incarnation,
-            leases,
             config,
+            peers,
+            leases,
             usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
+            client,
             metrics,
             settings,
         })
@@ -67,14 +89,22 @@
         let control = Arc::new(self);
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
+        control.peers.run().await?;
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
         tokio::spawn(Arc::clone(&control.usage).run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
+        let rounds = Rounds::new(
+            &control.settings,
+            &control.client,
+            Arc::clone(&control.config),
+        );
+        let rounds = Arc::new(rounds);
+        tokio::spawn(Arc::clone(&rounds).follow());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
-            serve::answer(Arc::clone(&state), request)
+            serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
         })?;
         spdlog::info!("control started", kv: {
             address = address.to_string(),
--- a/src/entry/usage/tally.rs
+++ b/src/entry/usage/tally.rs
@@ -16,6 +16,7 @@
     entry: Arc<Entry>,
     tenant: Tenant,
     most: u64,
+    requests: u64,
     tokens_in: u64,
     tokens_out: u64,
 }
@@ -29,14 +30,21 @@
             entry: Arc::clone(entry),
             tenant: tenant.clone(),
             most,
+            requests: 1,
             tokens_in: 0,
             tokens_out: 0,
         }
     }
 
+    /// Marks a request that goes on with an earlier one, which counted it and its prompt.
+    pub(in crate::entry) fn resumed(mut self) -> Self {
+        self.requests = 0;
+        self
+    }
+
     /// Counts `made` further tokens; `prompt` is the length of the whole prompt.
     pub(in crate::entry) fn count(&mut self, prompt: u32, made: usize) {
-        self.tokens_in = u64::from(prompt);
+        self.tokens_in = u64::from(prompt) * self.requests;
         self.tokens_out += made as u64;
     }
 }
@@ -46,7 +54,7 @@
         if self.tokens_out > 0 {
             let window = self.entry.config.state().manifest.window;
             let amounts = [
-                (UsageUnit::Requests, 1),
+                (UsageUnit::Requests, self.requests),
                 (UsageUnit::TokensIn, self.tokens_in),
                 (UsageUnit::TokensOut, self.tokens_out),
             ];
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -30,6 +30,16 @@
     pub state: ServerState,
     pub zone: ::std::string::String,
 }
+#[doc = "The part of a digest that changes all the time."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct Beat {
+    pub age: u64,
+    pub fresh: bool,
+    #[doc = "Hash of the incarnation."]
+    pub id: u64,
+    pub next: u64,
+    pub seq: u64,
+}
 #[doc = "What a configuration record says."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
@@ -145,13 +155,17 @@
 #[doc = "What one daemon tells its peers about itself; passed on by peers. A higher `seq` replaces a lower one."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Digest {
+    #[doc = "Time since `seq` was counted up, added up along the way."]
+    pub age_ms: u64,
     #[doc = "Offset of the configuration stream up to which the sender has folded."]
     pub config_next: u64,
+    #[doc = "The `seq` of the last change of what no beat carries."]
+    pub content: u64,
     pub crashes: ::std::vec::Vec<Crash>,
     pub daemon: Daemon,
     pub demand: ::std::vec::Vec<TenantDemand>,
-    #[doc = "Age of the sender's knowledge of the log's head when the digest was made or passed on."]
-    pub fresh_age_ms: u64,
+    #[doc = "Whether the sender could show that its configuration is up to date."]
+    pub fresh: bool,
     pub incarnation: ::std::string::String,
     pub instance: ::std::string::String,
     pub leases: ::std::vec::Vec<LeaseHeld>,
@@ -159,6 +173,8 @@
     pub loads: ::std::vec::Vec<ServerLoad>,
     #[doc = "SHA-256 of the manifest in force, in hex."]
     pub manifest: ::std::string::String,
+    #[doc = "Address of the sender's peers' link."]
+    pub peer: ::std::string::String,
     pub revision: u64,
     pub seq: u64,
     pub url: ::std::string::String,
@@ -211,7 +227,7 @@
     #[doc = "Seed of this sample."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub seed: ::std::option::Option<u64>,
-    #[doc = "Weight version that is required, when any."]
+    #[doc = "Oldest weight version that may make these tokens, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
@@ -513,9 +529,24 @@
         incarnation: ::std::string::String,
         instance: ::std::string::String,
     },
-    #[doc = "digests\n\nDigests that the sender knows."]
+    #[doc = "digests\n\nDigests and beats that the receiver lacks, and what the sender knows of the log's head."]
     #[serde(rename = "digests")]
-    Digests { digests: ::std::vec::Vec<Digest> },
+    Digests {
+        beats: ::std::vec::Vec<Beat>,
+        digests: ::std::vec::Vec<Digest>,
+        #[doc = "The last stamp that came from the receiver."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        echo: ::std::option::Option<u64>,
+        #[doc = "Time since `next` was the log's head or past it."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        head_age_ms: ::std::option::Option<u64>,
+        #[doc = "Time since that stamp came."]
+        held_ms: u64,
+        #[doc = "Offset up to which the sender has folded."]
+        next: u64,
+        #[doc = "The sender's clock in milliseconds."]
+        stamp: u64,
+    },
     #[doc = "once_ask\n\nAsks the incarnation that owns an idempotency key for its answer."]
     #[serde(rename = "once_ask")]
     OnceAsk {
@@ -613,6 +644,8 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Pull {
     pub max: u32,
+    #[doc = "1 for the first pull. A repeat carries the same number; the next number acknowledges the last batch."]
+    pub seq: u64,
     pub version: u64,
     pub wait_ms: u64,
 }
@@ -621,6 +654,7 @@
 pub struct Pulled {
     pub missing: u32,
     pub samples: ::std::vec::Vec<Sample>,
+    pub seq: u64,
 }
 #[doc = "What a lease is held for."]
 #[derive(
@@ -757,6 +791,8 @@
 #[doc = "A whole sample with the weight versions that made it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Sample {
+    #[doc = "Request id that the engines echoed."]
+    pub id: ::std::string::String,
     pub segments: ::std::vec::Vec<Segment>,
     pub slot: Slot,
     pub text: ::std::string::String,
@@ -774,13 +810,20 @@
 pub struct SampleRequest {
     pub avoid: ::std::vec::Vec<::std::string::String>,
     pub deadline_ms: u64,
+    #[doc = "Request id, the same for all parts of one sample."]
+    pub id: ::std::string::String,
     pub max_tokens: u32,
     pub model: ::std::string::String,
     pub prompt: ::std::string::String,
     pub resume: ::std::vec::Vec<::std::string::String>,
     pub seed: u64,
     pub segments: ::std::vec::Vec<Segment>,
+    #[doc = "Milliseconds from the first token after which a partial answer is wanted; 0 for never."]
+    pub slice_ms: u64,
     pub tenant: ::std::string::String,
+    #[doc = "Whether it goes before other rollout work."]
+    pub urgent: bool,
+    #[doc = "Oldest weight version that may make it, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
--- a/tests/suite/check.rs
+++ b/tests/suite/check.rs
@@ -106,10 +106,8 @@
         let printed = String::from_utf8(dir.local(args).stdout).expect("UTF-8");
         let path = format!("{}/schema/{file}.json", env!("CARGO_MANIFEST_DIR"));
         let committed = std::fs::read_to_string(path).expect("the committed schema");
-        assert_eq!(
-            printed, committed,
-            "run `basillead schema` and commit what it prints"
-        );
+        let advice = "run `basillead schema` and commit what it prints";
+        assert!(printed == committed, "schema/{file}.json: {advice}");
     }
 }
 
