Hand usage counters to two peers, which append them in an entry's place

Cause: counts that an entry has made but not appended die with it, up to 1.25 s of answers. It sends them to the entries of two other instances within 250 ms of a change, in other availability zones where there are some; they append a copy that was not replaced or cleared for 2 s. As counts merge by maximum, an append in the place of an entry that lives, or by both peers, changes nothing.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -44,7 +44,7 @@
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
-pub use usage::{UsageBatch, UsageCopies, UsageCounters};
+pub use usage::{ADOPT_AFTER, UsageBatch, UsageCopies, UsageCounters};
 
 /// Time in which the last counters must reach the log at shutdown.
 const FLUSH: Duration = Duration::from_secs(5);
@@ -61,6 +61,7 @@
     servers: ServerTable,
     log: Arc<HttpLog>,
     usage: UsageCounters,
+    copies: UsageCopies,
     appends: tokio::sync::Mutex<usage::AppendState>,
     usage_metrics: usage::UsageMetrics,
     admission: admit::Admission,
@@ -101,6 +102,7 @@
             log,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
+            copies: UsageCopies::default(),
             appends: tokio::sync::Mutex::default(),
             usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             admission: admit::Admission::default(),
@@ -121,9 +123,12 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        usage::serve_copies(&entry);
         entry.peers.run().await?;
         tokio::spawn(drain::follow_hold(Arc::clone(&entry)));
         tokio::spawn(usage::follow(Arc::clone(&entry)));
+        tokio::spawn(usage::share(Arc::clone(&entry)));
+        tokio::spawn(usage::adopt(Arc::clone(&entry)));
         tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
--- a/src/entry/usage/append.rs
+++ b/src/entry/usage/append.rs
@@ -50,7 +50,6 @@
 /// What the appends remember.
 #[derive(Debug, Default)]
 pub(in crate::entry) struct AppendState {
-    seq: u64,
     open: Vec<UsageOpen>,
     last: Option<Instant>,
 }
@@ -100,8 +99,7 @@
     if state.is_idle(&batch) {
         return true;
     }
-    state.seq += 1;
-    let record = batch.record(&entry.incarnation, state.seq);
+    let record = batch.record(&entry.incarnation, entry.usage.next_seq());
     let Ok(text) = serde_json::to_string(&record) else {
         return true;
     };
--- a/src/entry/usage/copies.rs
+++ b/src/entry/usage/copies.rs
@@ -1,6 +1,7 @@
-//! Copies of peers' counters, appended when the peer dies.
+//! Copies of peers' counters, appended when the peer falls silent.
 
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 
@@ -9,11 +10,17 @@
 
 use super::UsageBatch;
 
+/// Age of a copy at which its counters are appended in the peer's place.
+///
+/// A peer that runs has its counters confirmed, or sends newer ones, well before.
+pub const ADOPT_AFTER: Duration = Duration::from_secs(2);
+
 /// A peer's latest batch.
 #[derive(Clone, Debug)]
 struct Copy {
     seq: u64,
     batch: UsageBatch,
+    received: Instant,
 }
 
 /// The latest counters of peers that the log may not hold yet.
@@ -24,32 +31,47 @@
 
 impl UsageCopies {
     /// Keeps a peer's batch in place of its earlier ones.
-    pub fn keep(&self, incarnation: &Incarnation, seq: u64, batch: UsageBatch) {
+    ///
+    /// A batch without counts says that the log holds all of them: nothing is kept.
+    pub fn keep(&self, peer: &Incarnation, seq: u64, batch: UsageBatch, now: Instant) {
         let mut copies = self.copies.lock();
-        if copies.get(incarnation).is_none_or(|known| known.seq < seq) {
-            copies.insert(incarnation.clone(), Copy { seq, batch });
+        if copies.get(peer).is_some_and(|known| known.seq >= seq) {
+            return;
+        }
+        if batch.counts.is_empty() {
+            copies.remove(peer);
+            return;
         }
+        let copy = Copy {
+            seq,
+            batch,
+            received: now,
+        };
+        copies.insert(peer.clone(), copy);
     }
 
-    /// The record to append for a peer that died; nothing when its counts are in the log.
+    /// The records to append now, in place of peers that fell silent.
     #[must_use]
-    pub fn record(&self, incarnation: &Incarnation) -> Option<UsageRecord> {
+    pub fn due(&self, now: Instant) -> Vec<(Incarnation, UsageRecord)> {
         let copies = self.copies.lock();
-        let copy = copies.get(incarnation)?;
-        if copy.batch.counts.is_empty() {
-            return None;
-        }
-        Some(copy.batch.record(incarnation, copy.seq))
-    }
-
-    /// Drops the copy of a peer whose record the log took.
-    pub fn forget(&self, incarnation: &Incarnation) {
-        self.copies.lock().remove(incarnation);
+        let silent = copies
+            .iter()
+            .filter(|(_, copy)| now >= copy.received + ADOPT_AFTER);
+        let record = |(peer, copy): (&Incarnation, &Copy)| {
+            let record = copy.batch.record(peer, copy.seq);
+            (peer.clone(), record)
+        };
+        silent.map(record).collect()
     }
 
-    /// The peers whose counters are kept.
-    #[must_use]
-    pub fn peers(&self) -> Vec<Incarnation> {
-        self.copies.lock().keys().cloned().collect()
+    /// Drops the copy of a peer whose record the log took, unless a newer one came.
+    pub fn forget(&self, peer: &Incarnation, record: &UsageRecord) {
+        let crate::wire::UsageBody::Counters { seq, .. } = &record.body else {
+            return;
+        };
+        let mut copies = self.copies.lock();
+        if copies.get(peer).is_some_and(|known| known.seq == *seq) {
+            copies.remove(peer);
+        }
     }
 }
--- a/src/entry/usage/mod.rs
+++ b/src/entry/usage/mod.rs
@@ -2,11 +2,13 @@
 
 mod append;
 mod copies;
+mod share;
 mod tally;
 #[cfg(test)]
 mod tests;
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 
@@ -15,7 +17,8 @@
 use crate::wire::{PeerMessage, UsageBody, UsageCount, UsageOpen, UsageRecord, UsageUnit};
 
 pub(super) use append::{AppendState, UsageMetrics, flush, follow};
-pub use copies::UsageCopies;
+pub use copies::{ADOPT_AFTER, UsageCopies};
+pub(super) use share::{adopt, serve_copies, share};
 pub(super) use tally::Tally;
 
 /// Shards, each under its own lock.
@@ -56,6 +59,7 @@
 #[derive(Debug, Default)]
 pub struct UsageCounters {
     shards: [Mutex<Shard>; SHARDS],
+    seq: AtomicU64,
 }
 
 /// Counts that the log is not known to hold, as they stood at one time.
@@ -104,6 +108,11 @@
         &self.shards[sum % SHARDS]
     }
 
+    /// Numbers the next record or copy.
+    pub(super) fn next_seq(&self) -> u64 {
+        self.seq.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Adds amounts of a tenant to the window of `now_ms`; `length` is in seconds.
     pub fn add(&self, now_ms: u64, length: u64, tenant: &Tenant, amounts: &[(UsageUnit, u64)]) {
         let mut shard = self.shard(tenant).lock();
--- /dev/null
+++ b/src/entry/usage/share.rs
@@ -0,0 +1,118 @@
+//! Hands counters to two peers, and appends what peers that fell silent left behind.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::edge::{Log as _, Stream};
+use crate::names::{Incarnation, sha256_hex};
+use crate::util::{jittered, unix_ms};
+use crate::wire::{Daemon, PeerMessage};
+
+use super::super::Entry;
+use super::{UsageBatch, window_start};
+
+/// Peers that hold a copy of this entry's counters.
+const COPIES: usize = 2;
+/// Longest time from a change of the counters to the sending of the copies.
+const COPY_PAUSE: Duration = Duration::from_millis(250);
+/// Time between two looks at the copies held for peers.
+const ADOPT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Keeps copies that peers send.
+pub(in crate::entry) fn serve_copies(entry: &Arc<Entry>) {
+    let own = Arc::downgrade(entry);
+    entry.peers.on_message(move |link, message| {
+        let PeerMessage::UsageCopy {
+            counts,
+            from,
+            incarnation,
+            open,
+            seq,
+        } = message
+        else {
+            return;
+        };
+        let Some(entry) = own.upgrade() else {
+            return;
+        };
+        if *incarnation != *link.peer.incarnation.as_str() {
+            return;
+        }
+        let batch = UsageBatch {
+            from: *from,
+            counts: counts.clone(),
+            open: open.clone(),
+        };
+        let peer = &link.peer.incarnation;
+        entry.copies.keep(peer, *seq, batch, Instant::now());
+    });
+}
+
+/// Sends copies of the counters whenever they changed, for ever.
+pub(in crate::entry) async fn share(entry: Arc<Entry>) {
+    let mut sent = (UsageBatch::default(), Vec::new());
+    loop {
+        tokio::time::sleep(jittered(COPY_PAUSE)).await;
+        let length = entry.config.state().manifest.window;
+        let batch = entry.usage.batch(window_start(unix_ms(), length));
+        let targets = targets(&entry);
+        let is_same = sent.0.counts == batch.counts && sent.0.open == batch.open;
+        if is_same && (sent.1 == targets || batch.counts.is_empty()) {
+            continue;
+        }
+        let seq = entry.usage.next_seq();
+        for target in &targets {
+            let copy = batch.copy(&entry.incarnation, seq);
+            if let Err(error) = entry.peers.send(target, copy).await {
+                spdlog::debug!("usage copy failed", kv: { error = error.to_string() });
+            }
+        }
+        sent = (batch, targets);
+    }
+}
+
+/// The entries of other instances that hold the copies, in other zones where there are some.
+fn targets(entry: &Entry) -> Vec<Incarnation> {
+    let settings = &entry.settings;
+    let digests = entry.peers.digests();
+    let others = digests.iter().map(|known| &known.digest).filter(|digest| {
+        digest.daemon == Daemon::Entry
+            && digest.instance != settings.instance.as_str()
+            && !digest.leaving
+    });
+    let own = entry.incarnation.as_str();
+    let mut ranked: Vec<_> = others
+        .map(|digest| {
+            // Rendezvous hashing: few targets change when peers come and go.
+            let rank = sha256_hex(format!("{own} {}", digest.incarnation).as_bytes());
+            (digest.zone == settings.zone.as_str(), rank, digest)
+        })
+        .collect();
+    ranked.sort_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
+    let chosen = ranked.into_iter().take(COPIES);
+    chosen
+        .map(|(.., digest)| Incarnation::from(&*digest.incarnation))
+        .collect()
+}
+
+/// Appends the counters of peers that fell silent, for ever.
+pub(in crate::entry) async fn adopt(entry: Arc<Entry>) {
+    loop {
+        tokio::time::sleep(jittered(ADOPT_PAUSE)).await;
+        for (peer, record) in entry.copies.due(Instant::now()) {
+            let Ok(text) = serde_json::to_string(&record) else {
+                continue;
+            };
+            match entry.log.append(Stream::Usage, text).await {
+                Ok(_) => {
+                    entry.copies.forget(&peer, &record);
+                    let peer = peer.to_string();
+                    spdlog::warn!("usage of a silent peer appended", kv: { peer });
+                }
+                Err(error) => {
+                    spdlog::warn!("usage append failed", kv: { error = error.to_string() });
+                }
+            }
+        }
+    }
+}
--- a/src/entry/usage/tests.rs
+++ b/src/entry/usage/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use super::*;
 
 const WINDOW: u64 = 60;
@@ -72,16 +74,23 @@
 #[test]
 fn copies_keep_latest() {
     let (copies, peer) = (UsageCopies::default(), Incarnation::from("a"));
+    let (now, later) = (Instant::now(), Instant::now() + ADOPT_AFTER);
     let counters = UsageCounters::default();
     add(&counters, 61, 5);
     let first = counters.batch(60);
     add(&counters, 62, 2);
     let second = counters.batch(60);
-    copies.keep(&peer, 2, second.clone());
-    copies.keep(&peer, 1, first);
-    let record = copies.record(&peer).expect("a record");
-    assert_eq!(record.body, second.record(&peer, 2).body);
-    counters.confirm(&second);
-    copies.keep(&peer, 3, counters.batch(60));
-    assert!(copies.record(&peer).is_none(), "the log holds its counts");
+    copies.keep(&peer, 2, second.clone(), now);
+    copies.keep(&peer, 1, first, now);
+    assert!(copies.due(now).is_empty(), "the peer may be alive");
+    let due = copies.due(later);
+    assert_eq!(due.len(), 1);
+    assert_eq!(due[0].1.body, second.record(&peer, 2).body);
+    add(&counters, 63, 1);
+    copies.keep(&peer, 3, counters.batch(60), now);
+    copies.forget(&peer, &due[0].1);
+    assert_eq!(copies.due(later).len(), 1, "a newer copy stays");
+    counters.confirm(&counters.batch(60));
+    copies.keep(&peer, 4, counters.batch(60), now);
+    assert!(copies.due(later).is_empty(), "the log holds its counts");
 }
--- a/tests/suite/usage.rs
+++ b/tests/suite/usage.rs
@@ -301,26 +301,37 @@
     cluster.expect_all_reported();
 }
 
-#[test]
-fn usage_entry_killed_after_append() {
+/// Kills an entry at a step of its third append; its peers hold copies.
+fn entry_killed_at(step: &str) {
     let dir = Workdir::new("usage");
-    let mut cluster = Cluster::start(&dir, 2, "");
-    // Its counters are in the log, but it does not know.
-    let killed = "usage-after-counters=2*off->1*return(abort)";
+    let mut cluster = Cluster::start(&dir, 3, "");
     cluster.entries[0].signal("TERM");
     assert!(cluster.entries[0].wait(TAKEOVER).success());
-    cluster.entries[0] = entry(&dir, 0, killed);
-    wait_until("the entry is killed", || {
+    let paused = format!("{step}=2*off->1*return(pause 30000)");
+    cluster.entries[0] = entry(&dir, 0, &paused);
+    wait_until("the entry is at the step", || {
         cluster.complete(0, 10);
-        // No request runs while its counters are appended.
+        // No request runs while its counters are appended, and copies have been sent.
         std::thread::sleep(Duration::from_millis(1_500));
-        cluster.entries[0].0.try_wait().expect("a child").is_some()
+        dir.log("entry0").contains("failpoint")
     });
+    cluster.entries[0].signal("KILL");
+    cluster.entries[0].wait(TAKEOVER);
     cluster.entries[0] = entry(&dir, 0, "");
     cluster.load(1);
     cluster.expect_all_reported();
 }
 
+#[test]
+fn usage_entry_killed_before_append() {
+    entry_killed_at("usage-before-counters");
+}
+
+#[test]
+fn usage_entry_killed_after_append() {
+    entry_killed_at("usage-after-counters");
+}
+
 #[test]
 fn usage_entry_killed_midstream() {
     const TOKENS: u32 = 3_000;
