--- a/src/control/rounds/serve.rs
+++ b/src/control/rounds/serve.rs
@@ -22,8 +22,6 @@
 const UPLOAD: Duration = Duration::from_secs(10);
 /// Longest wait of one pull.
 const WAIT_MAX: Duration = Duration::from_secs(30);
-/// Age after which the configuration no longer counts as fresh.
-const FRESH_FOR: Duration = Duration::from_secs(3);
 
 /// Opens a session for a round of the key's tenant.
 pub(crate) async fn open(
@@ -31,8 +29,7 @@
     headers: &HeaderMap,
     body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
-    let key = KeyDigest::of(bearer(headers)?);
-    check_fresh(rounds)?;
+    let key = admitted_key(rounds, headers)?;
     let open: SessionOpen = parse(body).await?;
     let spec = check(rounds, &key, &open.round)?;
     if unix_ms() >= spec.deadline_ms {
@@ -63,8 +60,7 @@
     headers: &HeaderMap,
     body: &mut RequestBody,
 ) -> Result<Response, Refusal> {
-    let key = KeyDigest::of(bearer(headers)?);
-    check_fresh(rounds)?;
+    let key = admitted_key(rounds, headers)?;
     let pull: Pull = parse(body).await?;
     let session = find(rounds, &key, id)?;
     let wait = Duration::from_millis(pull.wait_ms).min(WAIT_MAX);
@@ -97,6 +93,14 @@
     Ok(json(StatusCode::OK, &()))
 }
 
+/// The call's key, if it is in force; checked before anything of the body is read.
+fn admitted_key(rounds: &Rounds, headers: &HeaderMap) -> Result<KeyDigest, Refusal> {
+    let key = KeyDigest::of(bearer(headers)?);
+    check_fresh(rounds)?;
+    check_key(rounds, &key)?;
+    Ok(key)
+}
+
 async fn parse<T: DeserializeOwned>(body: &mut RequestBody) -> Result<T, Refusal> {
     let body = read_body(body, BODY_MAX, Instant::now() + UPLOAD).await?;
     serde_json::from_slice(&body)
@@ -117,7 +121,7 @@
 }
 
 fn check_key(rounds: &Rounds, key: &KeyDigest) -> Result<(), Refusal> {
-    if rounds.config.state().tenant(key).is_some() {
+    if rounds.peers.tenant(key).is_some() {
         return Ok(());
     }
     let detail = "the key is unknown or was withdrawn";
@@ -141,8 +145,7 @@
 
 /// Refuses trainers while the configuration may be out of date.
 fn check_fresh(rounds: &Rounds) -> Result<(), Refusal> {
-    let seen = rounds.config.freshness().seen();
-    if seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR) {
+    if rounds.peers.is_fresh(Instant::now()) {
         return Ok(());
     }
     let detail = "this daemon cannot show that its configuration is up to date";
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,7 +3,10 @@
 
 mod bad_input;
 mod check;
+mod drain;
 mod leak;
+mod once;
+mod openapi;
 mod path;
 mod peers;
 mod rounds;
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -304,6 +304,19 @@
         command.output().expect("the command line runs")
     }
 
+    /// Starts the command line against control daemon 0.
+    pub fn spawn_basillead(&self, args: &[&str]) -> Process {
+        self.spawn_basillead_at(0, args)
+    }
+
+    /// Starts the command line against control daemon `n`.
+    pub fn spawn_basillead_at(&self, n: usize, args: &[&str]) -> Process {
+        let control = self.control_url(n);
+        let mut all = args.to_vec();
+        all.extend(["--control", &control, "--key-file", "operator.key"]);
+        self.spawn(env!("CARGO_BIN_EXE_basillead"), &all, "basillead")
+    }
+
     /// Publishes a manifest, which must be accepted.
     pub fn publish(&self, manifest: &str) -> Output {
         self.write("manifest.toml", manifest);
@@ -358,6 +371,15 @@
         );
     }
 
+    /// Takes an interface of the platform down or up, for one instance or all.
+    pub fn fault(&self, interface: &str, instance: Option<&str>, down: bool) {
+        let faults = serde_json::json!({"down": down});
+        let fault = serde_json::json!({
+            "interface": interface, "instance": instance, "faults": faults,
+        });
+        self.platform_post("fault", &fault);
+    }
+
     /// Reads JSON from the platform's own control pages.
     pub fn platform_get<T: DeserializeOwned>(&self, page: &str) -> T {
         let url = format!("{}/{page}", self.platform_url());
