--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,16 +4,19 @@
 mod operator;
 mod rounds;
 mod serve;
+pub mod usage;
 mod weights;
 
 use std::sync::Arc;
 
-use crate::edge::{HttpInstances, HttpLog, HttpServers};
+use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
 
 use rounds::Rounds;
 use weights::Weights;
@@ -24,8 +27,10 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
+    usage: Arc<usage::UsageWindows>,
     metrics: Metrics,
     client: Client,
 }
@@ -39,15 +44,41 @@
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
-        let leases = leases::Leases::new(log.clone(), instances, &settings.instance, &incarnation);
+        let leases = leases::Leases::new(
+            log.clone(),
+            instances.clone(),
+            &settings.instance,
+            &incarnation,
+        );
+        let leases = Arc::new(leases);
+        let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
+        let usage = usage::UsageWindows::new(
+            log,
+            sink,
+            Arc::clone(&leases),
+            Arc::clone(&config),
+            &metrics.meter(),
+        );
+        let peers = Peers::new(
+            &settings,
+            Daemon::Control,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
             incarnation,
-            leases: Arc::new(leases),
-            config: Arc::new(ConfigLog::new(log)),
+            config,
+            peers,
+            leases,
+            usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
-            client: client.clone(),
-            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            client,
+            metrics,
             settings,
         })
     }
@@ -60,19 +91,23 @@
         let control = Arc::new(self);
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
+        control.peers.run().await?;
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(Arc::clone(&control.usage).run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let rounds = Rounds::new(
             &control.settings,
             &control.client,
             Arc::clone(&control.config),
+            Arc::clone(&control.peers),
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
         let weights = Weights::new(
             Arc::clone(&control.config),
+            Arc::clone(&control.peers),
             Arc::clone(&control.leases),
             control.servers.clone(),
             &control.client,
--- a/src/control/rounds/mod.rs
+++ b/src/control/rounds/mod.rs
@@ -22,10 +22,11 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 
-use crate::edge::{HttpInstances, HttpServers, Servers};
+use crate::edge::{HttpServers, Servers};
 use crate::http::Client;
 use crate::log::ConfigLog;
 use crate::names::Pool;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::wire::{BackendServer, ServerState};
 
@@ -45,6 +46,7 @@
 #[derive(Debug)]
 pub(super) struct Rounds {
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     entries: Entries,
     servers: HttpServers,
     sessions: Mutex<BTreeMap<String, Arc<Session>>>,
@@ -66,13 +68,18 @@
 
 impl Rounds {
     /// No sessions yet. Their work runs on the runtime that calls this.
-    pub fn new(settings: &Settings, client: &Client, config: Arc<ConfigLog>) -> Self {
-        let instances = HttpInstances::new(client, &settings.platform.instances);
+    pub fn new(
+        settings: &Settings,
+        client: &Client,
+        config: Arc<ConfigLog>,
+        peers: Arc<Peers>,
+    ) -> Self {
         let own = settings.entry.http.to_string();
         let secret = settings.peer_secret.clone();
         Self {
             config,
-            entries: Entries::new(client.clone(), Arc::new(instances), secret, own),
+            entries: Entries::new(client.clone(), Arc::clone(&peers), secret, own),
+            peers,
             servers: HttpServers::new(client, &settings.platform.servers),
             sessions: Mutex::default(),
             running: Arc::default(),
@@ -81,10 +88,8 @@
         }
     }
 
-    /// Follows the instances, the backend servers and the sessions' ends for ever.
+    /// Follows the backend servers and the sessions' ends for ever.
     pub async fn follow(self: Arc<Self>) {
-        let rounds = Arc::clone(&self);
-        tokio::spawn(async move { rounds.entries.follow().await });
         loop {
             if let Ok(list) = self.servers.list().await {
                 self.pools.store(Arc::new(count_running(&list.servers)));
--- a/src/control/weights/mod.rs
+++ b/src/control/weights/mod.rs
@@ -23,6 +23,7 @@
 use crate::log::ConfigLog;
 use crate::manifest::Manifest;
 use crate::names::ServerId;
+use crate::peer::Peers;
 use crate::wire::{EngineLoad, EngineOrder, Role};
 
 use super::leases::Leases;
@@ -34,13 +35,12 @@
 const LIST: Duration = Duration::from_secs(1);
 /// Time within which an engine must report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Age after which the configuration no longer counts as fresh.
-const FRESH_FOR: Duration = Duration::from_secs(3);
 
 /// Loads weights while this process holds the lease.
 #[derive(Debug)]
 pub(super) struct Weights {
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
     leases: Arc<Leases>,
     servers: HttpServers,
     client: Client,
@@ -51,6 +51,7 @@
     /// A loader that knows no engine yet.
     pub fn new(
         config: Arc<ConfigLog>,
+        peers: Arc<Peers>,
         leases: Arc<Leases>,
         servers: HttpServers,
         client: &Client,
@@ -61,6 +62,7 @@
             .with_description("Model engines by model and state, as the lease holder sees them.");
         Self {
             config,
+            peers,
             leases,
             servers,
             client: client.clone(),
@@ -109,18 +111,13 @@
             table.report(id, report, &manifest, Instant::now());
             log_failure(id, &before, table);
         }
-        if self.is_fresh() {
+        // An old manifest must not take engines back to an old version.
+        if self.peers.is_fresh(Instant::now()) {
             self.order(table, &manifest).await;
         }
         self.show(&before, table, &manifest);
     }
 
-    /// Whether the manifest is known to be the one in force.
-    fn is_fresh(&self) -> bool {
-        let seen = self.config.freshness().seen();
-        seen.is_some_and(|seen| seen.elapsed() < FRESH_FOR)
-    }
-
     async fn report(&self, address: &str) -> Option<EngineLoad> {
         let request = Request::get(format!("http://{address}/load"));
         let request = request.body(Bytes::new()).ok()?;
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -7,9 +7,11 @@
 
 use crate::http::{Refusal, RefusalKind, Response, json};
 use crate::util::instant_of;
-use crate::wire::{SampleAnswer, SampleRequest};
+use crate::wire::{EngineChunk, SampleAnswer, SampleRequest};
 
 use super::Entry;
+use super::enter::{self, Arrival, Entered};
+use super::fair::Class;
 use super::generate::{Generation, Job};
 use super::usage::Tally;
 
@@ -41,16 +43,31 @@
         resume: request.resume,
         avoid: request.avoid.into_iter().map(Into::into).collect(),
     };
-    let most = job
-        .max_tokens
-        .saturating_sub(u32::try_from(held).unwrap_or(u32::MAX));
-    let mut tally = Tally::new(entry, &job.tenant, most);
+    let tenant = job.tenant.clone();
+    let left = (job.max_tokens as usize).saturating_sub(held);
+    let (cost, deadline) = (enter::cost(job.prompt.len(), left), job.deadline);
+    let mut tally = Tally::new(entry, &tenant, u32::try_from(left).unwrap_or(u32::MAX));
     if held > 0 {
         tally = tally.resumed();
     }
     let mut generation = Generation::new(Arc::clone(entry), job)?;
+    let arrival = Arrival {
+        pool: generation.pool(),
+        tenant: Some(&tenant),
+        class: Class::Rollout,
+        cost,
+        limited: true,
+        deadline,
+    };
+    let mut entered = enter::enter(entry, arrival).await?;
+    let mut work = Work {
+        generation: &mut generation,
+        entered: &mut entered,
+        tally: &mut tally,
+        held,
+    };
     let slice = Duration::from_millis(request.slice_ms);
-    let done = run(&mut generation, &mut tally, held, slice).await?;
+    let done = work.run(slice).await?;
     for segment in generation.segments() {
         super::generate::add_segment(&mut segments, segment.version, segment.tokens);
     }
@@ -64,35 +81,61 @@
     Ok(json(StatusCode::OK, &answer))
 }
 
-/// Runs a generation until it is whole, or broken, or its slice is over.
-///
-/// The slice counts from the first token, so that waiting for a server uses none of it.
-async fn run(
-    generation: &mut Generation,
-    tally: &mut Tally,
+/// A sample under way, with what it takes of this entry.
+struct Work<'a> {
+    generation: &'a mut Generation,
+    entered: &'a mut Entered,
+    tally: &'a mut Tally,
+    /// Tokens that were held at the start.
     held: usize,
-    slice: Duration,
-) -> Result<bool, Refusal> {
-    let mut until: Option<Instant> = None;
-    loop {
-        let next = match until {
-            None => generation.next().await,
-            Some(until) => match tokio::time::timeout_at(until.into(), generation.next()).await {
-                Ok(next) => next,
-                Err(_) => return Ok(false),
-            },
-        };
-        if let Ok(chunk) = &next {
-            tally.count(generation.prompt_tokens(), chunk.tokens.len());
-        }
-        match next {
-            Ok(chunk) if chunk.done => return Ok(true),
-            Ok(_) if !slice.is_zero() => {
+}
+
+impl Work<'_> {
+    /// Generates until the sample is whole, or its part so far is to go back.
+    ///
+    /// A part goes back when no server could go on, when its slice of time from its first
+    /// chunk on is over (a slice of zero has no end), or when live work needs the place.
+    async fn run(&mut self, slice: Duration) -> Result<bool, Refusal> {
+        let mut until: Option<Instant> = None;
+        loop {
+            match self.next(until).await {
+                Some(Ok(chunk)) => {
+                    self.count(chunk.tokens.len());
+                    if chunk.done {
+                        return Ok(true);
+                    }
+                }
+                Some(Err(refusal)) if self.made() == 0 => return Err(refusal),
+                Some(Err(_)) | None => return Ok(false),
+            }
+            if !slice.is_zero() {
                 until.get_or_insert_with(|| Instant::now() + slice);
             }
-            Ok(_) => {}
-            Err(refusal) if generation.tokens().len() == held => return Err(refusal),
-            Err(_) => return Ok(false),
         }
     }
+
+    /// The next chunk; none when the part so far is to go back.
+    async fn next(&mut self, until: Option<Instant>) -> Option<Result<EngineChunk, Refusal>> {
+        let has_part = self.made() > 0;
+        let slice_over = async {
+            match until {
+                Some(until) => tokio::time::sleep_until(until.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            next = self.generation.next() => Some(next),
+            () = slice_over => None,
+            () = self.entered.room_wanted(), if has_part => None,
+        }
+    }
+
+    fn made(&self) -> usize {
+        self.generation.tokens().len() - self.held
+    }
+
+    fn count(&mut self, tokens: usize) {
+        self.tally.count(self.generation.prompt_tokens(), tokens);
+        self.entered.settle(enter::cost(0, self.made()));
+    }
 }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -1,18 +1,22 @@
 //! Completion calls: from the body to a whole or streamed answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::StatusCode;
 
+use crate::drain::Active;
 use crate::http::{Refusal, RefusalKind, Response, streamed, whole};
 use crate::util::{random_id, unix_ms};
-use crate::wire::EngineChunk;
+use crate::wire::{EngineChunk, Run};
 
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
-use super::auth::{self, Caller};
+use super::auth::Caller;
+use super::enter::{self, Arrival, Entered};
+use super::fair::Class;
+use super::fresh;
 use super::generate::{Generation, Job};
 use super::leak;
 use super::usage::Tally;
@@ -25,12 +29,14 @@
     entry: &Arc<Entry>,
     call: Call,
     caller: Caller,
+    deadline: Instant,
     body: &[u8],
 ) -> Result<Response, Refusal> {
     let arrived = Instant::now();
     let prompt = api::parse(call, body)?;
     leak::refuse_key("prompt", prompt.text.as_bytes())?;
-    let limits = entry.config.state().manifest.limits;
+    let cost = enter::cost(prompt.text.len(), prompt.max_tokens as usize);
+    let base_cost = enter::cost(prompt.text.len(), 0);
     let shape = Shape {
         call,
         id: format!("cmpl-{}", random_id()),
@@ -45,19 +51,32 @@
         max_tokens: prompt.max_tokens,
         priority: PRIORITY_LIVE,
         seed: prompt.seed,
-        deadline: arrived + Duration::from_millis(limits.request),
+        deadline,
         version: None,
         resume: Vec::new(),
         avoid: Vec::new(),
     };
     let most = job.max_tokens;
     let generation = Generation::new(Arc::clone(entry), job)?;
+    let arrival = Arrival {
+        pool: generation.pool(),
+        tenant: Some(&caller.tenant),
+        class: Class::Live,
+        cost,
+        limited: true,
+        deadline,
+    };
+    let entering = enter::enter(entry, arrival);
+    let entered = fresh::while_valid(entry, &caller.digest, Run::NotRun, entering).await??;
     let mut relay = Relay {
         tally: Tally::new(entry, &caller.tenant, most),
         entry: Arc::clone(entry),
         caller,
         shape,
         generation,
+        entered,
+        base_cost,
+        _active: entry.drain.hold(),
         first: None,
         ended: false,
     };
@@ -78,7 +97,10 @@
     caller: Caller,
     shape: Shape,
     generation: Generation,
+    entered: Entered,
+    base_cost: f64,
     tally: Tally,
+    _active: Active,
     first: Option<EngineChunk>,
     ended: bool,
 }
@@ -89,19 +111,13 @@
         if let Some(first) = self.first.take() {
             return Ok(first);
         }
-        let chunk = self.generation.next().await?;
-        if self
-            .entry
-            .config
-            .state()
-            .tenant(&self.caller.digest)
-            .is_none()
-        {
-            let detail = auth::invalid().detail;
-            return Err(Refusal::unknown(RefusalKind::KeyInvalid, detail));
-        }
+        let next = self.generation.next();
+        let key = &self.caller.digest;
+        let chunk = fresh::while_valid(&self.entry, key, Run::Unknown, next).await??;
         let prompt = self.generation.prompt_tokens();
         self.tally.count(prompt, chunk.tokens.len());
+        let made = self.generation.tokens().len();
+        self.entered.settle(self.base_cost + enter::cost(0, made));
         Ok(chunk)
     }
 
--- a/tests/suite/weights.rs
+++ b/tests/suite/weights.rs
@@ -46,6 +46,7 @@
     let args = ["--server", "engines:engine:z0:13", "--load-ms", "1000"];
     let _platform = dir.platform(1, 1, &args);
     let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
     dir.publish(MANIFEST);
     let begun = Instant::now();
     dir.publish(&with_version(&dir, 2));
@@ -66,6 +67,7 @@
     let dir = Workdir::new("failed");
     let _platform = dir.platform(1, 1, &["--server", "engines:engine:z0:6"]);
     let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
     let ends = serde_json::json!(["failed", "half", "crash", "failed", "half"]);
     dir.platform_post("loads", &ends);
     dir.publish(&MANIFEST.replace("version = 1", "version = 5"));
@@ -77,7 +79,8 @@
 fn weights_failing_server_is_left_out() {
     let dir = Workdir::new("leftout");
     let _platform = dir.platform(1, 1, &["--server", "engines:engine:z0:1"]);
-    let control = dir.control(0, 1);
+    let _control = dir.control(0, 1);
+    let _entry = dir.entry(0, 1);
     let ends = serde_json::json!(["failed", "failed", "failed", "failed"]);
     dir.platform_post("loads", &ends);
     dir.publish(&MANIFEST.replace("version = 1", "version = 2"));
@@ -86,7 +89,6 @@
     });
     std::thread::sleep(Duration::from_secs(3));
     assert!(loaded(&dir).values().all(|one| one.begun == 3));
-    drop(control);
 }
 
 #[test]
@@ -101,6 +103,7 @@
     ];
     let _platform = dir.platform(2, 1, &args);
     let mut controls = [Some(dir.control(0, 1)), Some(dir.control(1, 1))];
+    let _entries = [dir.entry(0, 1), dir.entry(1, 1)];
     dir.publish(MANIFEST);
     dir.publish(&with_version(&dir, 2));
     wait_until("a load is under way", || {
