Prove rounds whole under killed engines, entries and controls

A round of 128 samples over two instances is pulled while an engine, the session's entry, the session's control daemon, a cheap zone, or all of them together are lost, and while answers are crossed. Every slot comes once, and the text of every sample shows that its segments are true: the stand-in engine makes each token from the request id, the version and the position.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -267,16 +267,17 @@
             let count = self.config.chunk.min(total - index);
             self.pace(count).await;
             let version = self.note_generated(count);
+            let id = self.chunk_id(&request.id);
             let chunk = EngineChunk {
                 cached: u32::try_from(cached).ok(),
                 done: index + count >= total,
-                id: self.chunk_id(&request.id),
                 index: u32::try_from(index).unwrap_or(u32::MAX),
                 prompt_tokens: u32::try_from(words).ok(),
                 tokens: (index..index + count)
-                    .map(|n| token_of(&request, version, n))
+                    .map(|n| token_of(&request, &id, version, n))
                     .collect(),
                 version,
+                id,
             };
             let done = chunk.done;
             if sender.send(chunk).await.is_err() || done {
@@ -349,10 +350,10 @@
     usize::try_from(length).unwrap_or(usize::MAX)
 }
 
-fn token_of(request: &EngineRequest, version: u64, index: usize) -> String {
+fn token_of(request: &EngineRequest, id: &str, version: u64, index: usize) -> String {
     match request.seed {
-        Some(_) => sample_token(&request.id, version, index),
-        None => token(&request.id, index),
+        Some(_) => sample_token(id, version, index),
+        None => token(id, index),
     }
 }
 
--- a/tests/suite/rounds.rs
+++ b/tests/suite/rounds.rs
@@ -1,9 +1,11 @@
 //! Rollout rounds: each slot once, true versions, within the staleness bound.
 
+use std::time::{Duration, Instant};
+
 use http::StatusCode;
 
 use crate::trainer::Trainer;
-use crate::workdir::{Small, Workdir, show, wait_until};
+use crate::workdir::{MANIFEST, Process, Small, Workdir, show, wait_until};
 
 /// Creates a round of the tenant `desk`.
 pub fn create(dir: &Workdir, name: &str, args: &[&str]) {
@@ -89,3 +91,100 @@
     });
     assert_eq!(trainer.open(), Some(StatusCode::UNAUTHORIZED));
 }
+
+/// A platform with two zones, and two instances with a round of 128 samples.
+struct Pair {
+    _platform: Process,
+    controls: [Option<Process>; 2],
+    entries: [Option<Process>; 2],
+    key: String,
+}
+
+impl Pair {
+    fn start(dir: &Workdir) -> Self {
+        let mut args = Vec::new();
+        for server in ["engines:engine:z0:2", "engines:engine:z1:2:cheap"] {
+            args.extend(["--server", server]);
+        }
+        let platform = dir.platform(2, 2, &args);
+        let controls = [dir.control(0, 2), dir.control(1, 2)].map(Some);
+        let entries = [dir.entry(0, 2), dir.entry(1, 2)].map(Some);
+        dir.publish(MANIFEST);
+        let key = dir.grant("desk");
+        let args = ["--groups", "8", "--samples", "16", "--max-tokens", "200"];
+        create(dir, "r1", &args);
+        Self {
+            _platform: platform,
+            controls,
+            entries,
+            key,
+        }
+    }
+
+    /// Pulls the round with a fault once a quarter of it is delivered.
+    fn finish(&mut self, dir: &Workdir, fault: impl FnOnce(&mut Self)) {
+        let key = self.key.clone();
+        let mut trainer = Trainer::new(dir, &key, "r1", 2);
+        let mut fault = Some(fault);
+        trainer.finish(|trainer| {
+            if trainer.held.len() >= 32
+                && let Some(fault) = fault.take()
+            {
+                fault(self);
+            }
+        });
+        assert!(fault.is_none(), "the round ended before the fault");
+        assert_eq!(trainer.held.len(), 128);
+    }
+}
+
+#[test]
+fn rounds_engine_killed() {
+    let dir = Workdir::new("engine");
+    let mut pair = Pair::start(&dir);
+    pair.finish(&dir, |_| dir.platform_post("crash/engines-1", &().into()));
+}
+
+#[test]
+fn rounds_entry_killed() {
+    let dir = Workdir::new("entry");
+    let mut pair = Pair::start(&dir);
+    pair.finish(&dir, |pair| pair.entries[0] = None);
+}
+
+#[test]
+fn rounds_control_killed() {
+    let dir = Workdir::new("control");
+    let mut pair = Pair::start(&dir);
+    pair.finish(&dir, |pair| pair.controls[0] = None);
+}
+
+#[test]
+fn rounds_zone_reclaimed() {
+    let dir = Workdir::new("reclaim");
+    let mut pair = Pair::start(&dir);
+    let reclaim = serde_json::json!({"zone": "z1", "notice_ms": 1_000});
+    pair.finish(&dir, |_| dir.platform_post("reclaim", &reclaim));
+}
+
+#[test]
+fn rounds_answers_crossed() {
+    let dir = Workdir::new("crossed");
+    let mut pair = Pair::start(&dir);
+    pair.finish(&dir, |_| dir.platform_post("crossed/20", &().into()));
+}
+
+#[test]
+fn rounds_faults_together() {
+    let dir = Workdir::new("together");
+    let mut pair = Pair::start(&dir);
+    let begun = Instant::now();
+    pair.finish(&dir, |pair| {
+        dir.platform_post("crash/engines-2", &().into());
+        let reclaim = serde_json::json!({"zone": "z1", "notice_ms": 300});
+        dir.platform_post("reclaim", &reclaim);
+        pair.entries[0] = None;
+        pair.controls[0] = None;
+    });
+    assert!(begun.elapsed() < Duration::from_secs(60));
+}
