--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod serve;
 mod snapshot;
 pub mod usage;
+mod weights;
 mod withdraw;
 
 use std::sync::Arc;
@@ -24,6 +25,7 @@
 use crate::wire::Daemon;
 
 use rounds::Rounds;
+use weights::Weights;
 
 /// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
 const FINISH: Duration = Duration::from_secs(35);
@@ -132,6 +134,15 @@
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
+        let weights = Weights::new(
+            Arc::clone(&control.config),
+            Arc::clone(&control.peers),
+            Arc::clone(&control.leases),
+            control.servers.clone(),
+            &control.client,
+            &control.metrics.meter(),
+        );
+        tokio::spawn(weights.run());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
             serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
--- a/src/control/rounds/entries.rs
+++ b/src/control/rounds/entries.rs
@@ -3,19 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use arc_swap::ArcSwap;
 use bytes::Bytes;
 use http::{Method, Request, header};
 use parking_lot::Mutex;
 use snafu::{ResultExt as _, Snafu};
 
-use crate::edge::Instances;
 use crate::http::{Client, ClientError};
 use crate::names::Secret;
-use crate::wire::{Instance, InstanceState, Problem, SampleAnswer, SampleRequest};
+use crate::peer::Peers;
+use crate::wire::{InstanceState, Problem, SampleAnswer, SampleRequest};
 
-/// Time between two readings of the instance list.
-const POLL: Duration = Duration::from_secs(1);
 /// Time for which an entry that failed is not asked first.
 const DOWN: Duration = Duration::from_secs(2);
 
@@ -54,45 +51,24 @@
 #[derive(Debug)]
 pub(super) struct Entries {
     client: Client,
-    list: Arc<dyn Instances>,
+    peers: Arc<Peers>,
     secret: Secret,
     own: String,
-    others: ArcSwap<Vec<String>>,
     down: Mutex<Vec<(String, Instant)>>,
 }
 
 impl Entries {
-    /// Entries of which only the own one is known yet.
-    pub fn new(client: Client, list: Arc<dyn Instances>, secret: Secret, own: String) -> Self {
+    /// The entries of the listed instances; `own` is this instance's.
+    pub fn new(client: Client, peers: Arc<Peers>, secret: Secret, own: String) -> Self {
         Self {
             client,
-            list,
+            peers,
             secret,
             own,
-            others: ArcSwap::default(),
             down: Mutex::default(),
         }
     }
 
-    /// Follows the instance list for ever; outages leave what is known as it is.
-    pub async fn follow(&self) {
-        loop {
-            match self.list.list().await {
-                Ok(list) => self.others.store(Arc::new(self.live(&list))),
-                Err(error) => {
-                    spdlog::warn!("instance list failed", kv: { error = error.to_string() });
-                }
-            }
-            tokio::time::sleep(POLL).await;
-        }
-    }
-
-    fn live(&self, list: &[Instance]) -> Vec<String> {
-        let live = list.iter().filter(|one| one.state == InstanceState::Live);
-        let entries = live.map(|one| one.entry.clone());
-        entries.filter(|entry| *entry != self.own).collect()
-    }
-
     /// The entry to ask now: the own one unless it failed lately, else some other.
     fn choose(&self, now: Instant, turn: usize) -> String {
         let mut down = self.down.lock();
@@ -101,12 +77,16 @@
         if is_up(&self.own) {
             return self.own.clone();
         }
-        let others = self.others.load();
-        let up: Vec<&String> = others.iter().filter(|entry| is_up(entry)).collect();
+        let listed = self.peers.listed();
+        let live = listed.iter().filter(|one| one.state == InstanceState::Live);
+        let up: Vec<&str> = live
+            .map(|one| one.entry.as_str())
+            .filter(|entry| is_up(entry))
+            .collect();
         if up.is_empty() {
             return self.own.clone();
         }
-        up[turn % up.len()].clone()
+        up[turn % up.len()].to_owned()
     }
 
     /// Asks an entry for a sample.
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -16,4 +16,5 @@
 mod stop;
 mod trainer;
 mod usage;
+mod weights;
 mod workdir;
