Choose, retry, eject and contain poison requests by pure decisions

Choice weighs cached prefixes against load among a few candidates; failing servers are ejected and return slowly; retries draw on a budget; a request that was on a server whose port closed is a suspect. Each keeps its baseline under [policy].

--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::http::{Refusal, RefusalKind};
-use crate::manifest::QueuePolicy;
+use crate::manifest::{QueuePolicy, RefusalPolicy};
 use crate::names::{Pool, Tenant};
 
 use super::fair::{Ask, Class, FairQueue, Pace, Waiting};
@@ -28,7 +28,9 @@
     /// Requests that may wait.
     pub waiting: usize,
     /// The order of waiting requests.
-    pub policy: QueuePolicy,
+    pub queue: QueuePolicy,
+    /// When a request that cannot run in time is refused.
+    pub refusal: RefusalPolicy,
 }
 
 /// The queues of all pools.
@@ -182,8 +184,16 @@
         Ok((number, receiver))
     }
 
+    /// How fast requests run, if refusals are to be early and it is known.
+    fn pace(&self) -> Option<Pace> {
+        match self.bounds.refusal {
+            RefusalPolicy::Early => self.speed.pace(self.bounds.running),
+            RefusalPolicy::Late => None,
+        }
+    }
+
     fn check_deadline(&self, ask: &Ask<'_>, now: Instant) -> Result<(), Refusal> {
-        let Some(pace) = self.speed.pace(self.bounds.running) else {
+        let Some(pace) = self.pace() else {
             return Ok(());
         };
         let idle = self.running < self.bounds.running && self.queue.len() == 0;
@@ -275,9 +285,9 @@
         let gate = self.gate(pool);
         let mut state = gate.state.lock();
         state.bounds = bounds;
-        state.queue.set_policy(bounds.policy);
+        state.queue.set_policy(bounds.queue);
         state.dispatch();
-        let Some(pace) = state.speed.pace(bounds.running) else {
+        let Some(pace) = state.pace() else {
             return;
         };
         for hopeless in state.queue.take_hopeless(pace, now) {
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -13,8 +13,12 @@
 use crate::http::{AnswerBody, Client, ClientError};
 use crate::wire::{EngineChunk, EngineRequest};
 
+use super::eject::Failure;
 use super::servers::Inflight;
 
+/// The status by which an engine refuses what it does not hold.
+const CONFLICT: u16 = 409;
+
 /// Why an engine's answer broke off.
 #[derive(Debug, Snafu)]
 pub(super) enum EngineError {
@@ -56,6 +60,16 @@
             Self::Broken { .. } | Self::Stalled | Self::Crossed { .. } => false,
         }
     }
+
+    /// How the engine failed, if it is to blame.
+    pub(super) fn failure(&self) -> Option<Failure> {
+        match self {
+            Self::Call { source } if source.is_unsent() => Some(Failure::Unreachable),
+            // The engine works, but holds another model or version.
+            Self::Refused { status: CONFLICT } => None,
+            _ => Some(Failure::Broken),
+        }
+    }
 }
 
 type Events = Pin<Box<dyn Stream<Item = Result<EngineChunk, EngineError>> + Send>>;
--- a/src/entry/enter.rs
+++ b/src/entry/enter.rs
@@ -15,7 +15,7 @@
 /// Header in which a caller states how long it waits.
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 /// Bytes of a prompt that take an engine as long as one token of an answer.
-const PROMPT_BYTES_A_TOKEN: f64 = 64.0;
+const PROMPT_BYTES_A_TOKEN: f64 = 200.0;
 /// Time between two looks at what bounds the queues.
 const REFRESH: Duration = Duration::from_millis(100);
 /// Tenant name under which calls without a key wait.
@@ -151,8 +151,9 @@
     Refusal::not_run(RefusalKind::OverLimit, detail).retry_after(retry)
 }
 
+/// A number of the manifest as a float.
 #[expect(clippy::cast_precision_loss, reason = "settings are far below 2^52")]
-fn float(number: u64) -> f64 {
+pub(super) fn float(number: u64) -> f64 {
     number as f64
 }
 
@@ -176,7 +177,8 @@
         let bounds = Bounds {
             running: own_share(capacity, own, elsewhere, others.entries()),
             waiting: state.manifest.limits.queue,
-            policy: state.manifest.policy.queue,
+            queue: state.manifest.policy.queue,
+            refusal: state.manifest.policy.refusal,
         };
         entry.admission.refresh(pool, bounds, now);
     }
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -4,15 +4,25 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Refusal, RefusalKind};
+use crate::manifest::RetryPolicy;
 use crate::names::{Model, Pool, ServerId, Tenant};
-use crate::wire::{EngineChunk, EngineRequest, Segment};
+use crate::wire::{EngineChunk, EngineRequest, Run, Segment};
 
 use super::Entry;
+use super::eject::Failure;
 use super::engine::{EngineError, EngineStream};
-use super::servers::Need;
+use super::metrics::Attempt;
+use super::place::{Placed, Placer};
+use super::poison::{Crash, Fingerprint};
+use super::prefix::block_hashes;
+use super::servers::KnownServer;
+use super::share;
+use super::suspect::{self, TrialGuard};
 
 /// Servers that one request may be tried on.
 const ATTEMPTS_MAX: u32 = 4;
+/// Seconds after which to ask again when no retry is left.
+const RETRY_S: u64 = 1;
 
 /// What is to be generated.
 #[derive(Clone, Debug)]
@@ -55,6 +65,11 @@
     sent: bool,
     stream: Option<EngineStream>,
     server: Option<ServerId>,
+    /// Tokens that were held at the start.
+    held: usize,
+    fingerprint: Fingerprint,
+    blocks: Vec<u64>,
+    trial: Option<TrialGuard>,
 }
 
 impl Generation {
@@ -69,6 +84,7 @@
             return Err(Refusal::not_run(RefusalKind::NotFound, detail));
         };
         let tokens = std::mem::take(&mut job.resume);
+        let held = tokens.len();
         Ok(Self {
             pool: model.pool.clone(),
             idle: Duration::from_millis(state.manifest.limits.idle),
@@ -79,6 +95,10 @@
             sent: false,
             stream: None,
             server: None,
+            held,
+            fingerprint: fingerprint(&job),
+            blocks: block_hashes(&job.prompt),
+            trial: None,
             entry,
             job,
         })
@@ -125,50 +145,81 @@
             match stream.next(self.idle, self.job.deadline).await {
                 Ok(chunk) => {
                     self.take(&chunk);
-                    self.stream = (!chunk.done).then_some(stream);
+                    if chunk.done {
+                        self.succeeded(&stream.inflight.server);
+                    } else {
+                        self.stream = Some(stream);
+                    }
                     return Ok(chunk);
                 }
-                Err(error) => self.failed(&stream.inflight.server.id.clone(), &error),
+                Err(error) => {
+                    let server = Arc::clone(&stream.inflight.server);
+                    drop(stream);
+                    self.failed(&server, &error).await;
+                }
             }
         }
     }
 
     /// Opens a stream on some server.
     async fn open(&mut self) -> Result<(), Refusal> {
-        if self.attempts == ATTEMPTS_MAX {
-            let detail = format!("gave up after {ATTEMPTS_MAX} backend servers");
-            return Err(self.refusal(RefusalKind::ServerFailed, &detail));
-        }
-        self.attempts += 1;
-        let inflight = self.entry.servers.pick(&self.need(), Instant::now());
-        let Some(inflight) = inflight else {
-            return Err(self.refusal(RefusalKind::NoServer, "no backend server is ready"));
-        };
-        let server = Arc::clone(&inflight.server);
+        self.begin_attempt()?;
+        let placed = self.place().await?;
+        let server = Arc::clone(&placed.inflight.server);
+        self.trial = placed.trial;
         let request = self.request();
         let deadline = self.job.deadline.min(Instant::now() + self.idle);
-        let opened = EngineStream::open(&self.entry.client, inflight, &request, deadline).await;
+        let opened =
+            EngineStream::open(&self.entry.client, placed.inflight, &request, deadline).await;
         match opened {
             Ok(stream) => {
                 self.sent = true;
                 self.server = Some(server.id.clone());
                 self.stream = Some(stream);
             }
-            Err(error) => {
-                self.entry.servers.suspect(&server, Instant::now());
-                self.failed(&server.id, &error);
+            Err(error) => self.failed(&server, &error).await,
+        }
+        Ok(())
+    }
+
+    /// Counts an attempt, which beyond the first one takes from the entry's budget.
+    fn begin_attempt(&mut self) -> Result<(), Refusal> {
+        if self.attempts == ATTEMPTS_MAX {
+            let detail = format!("gave up after {ATTEMPTS_MAX} backend servers");
+            return Err(self.refusal(RefusalKind::ServerFailed, &detail));
+        }
+        let kind = match (self.attempts, self.tokens.len() > self.held) {
+            (0, _) => Attempt::First,
+            (_, true) => Attempt::Resume,
+            (_, false) => Attempt::Retry,
+        };
+        let policy = self.entry.config.state().manifest.policy.retries;
+        match kind {
+            Attempt::First => self.entry.retries.earn(),
+            Attempt::Retry if policy == RetryPolicy::Budget && !self.entry.retries.spend() => {
+                let detail = "backend servers fail, and no more retries are made now";
+                let refusal = self.refusal(RefusalKind::ServerFailed, detail);
+                return Err(refusal.retry_after(RETRY_S));
             }
+            Attempt::Retry | Attempt::Resume => {}
         }
+        self.entry.counts.attempt(kind);
+        self.attempts += 1;
         Ok(())
     }
 
-    fn need(&self) -> Need<'_> {
-        Need {
+    async fn place(&self) -> Result<Placed, Refusal> {
+        let placer = Placer {
+            entry: &self.entry,
+            job: &self.job,
             pool: &self.pool,
-            avoid: &self.job.avoid,
-            zone: &self.entry.settings.zone,
-            policy: self.entry.config.state().manifest.policy.choice,
-        }
+            fingerprint: &self.fingerprint,
+            blocks: &self.blocks,
+        };
+        placer.place().await.map_err(|mut refusal| {
+            refusal.run = if self.sent { Run::Unknown } else { Run::NotRun };
+            refusal
+        })
     }
 
     fn request(&self) -> EngineRequest {
@@ -193,16 +244,54 @@
         add_segment(&mut self.segments, chunk.version, count);
     }
 
-    fn failed(&mut self, server: &ServerId, error: &EngineError) {
+    /// Notes a failure; a crash of the server makes the request a suspect.
+    async fn failed(&mut self, server: &KnownServer, error: &EngineError) {
         self.sent |= !error.is_not_run();
         spdlog::warn!("engine failed", kv: {
             request = self.job.id.as_str(),
             tenant = self.job.tenant.as_str(),
-            server = server.as_str(),
+            server = server.id.as_str(),
             attempt = self.attempts,
             error = error.to_string(),
         });
-        self.job.avoid.push(server.clone());
+        self.job.avoid.push(server.id.clone());
+        let may_be_crash = !error.is_not_run() && !self.entry.servers.is_leaving(&server.id);
+        if may_be_crash && suspect::is_down(&server.address).await {
+            self.crashed(server);
+        } else if let Some(failure) = error.failure() {
+            server.fail(failure, Instant::now());
+        }
+        self.trial = None;
+    }
+
+    fn crashed(&self, server: &KnownServer) {
+        let now = Instant::now();
+        server.fail(Failure::Unreachable, now);
+        let alone = self.trial.as_ref().is_some_and(|one| one.trial.alone);
+        let crash = Crash {
+            fingerprint: self.fingerprint.clone(),
+            server: server.id.clone(),
+            at: now,
+            alone,
+        };
+        self.entry.suspects.note(crash, now);
+        self.entry.counts.crash(alone);
+        share::tell(&self.entry, now);
+        spdlog::warn!("backend server crashed", kv: {
+            request = self.job.id.as_str(),
+            tenant = self.job.tenant.as_str(),
+            fingerprint = self.fingerprint.to_string(),
+            server = server.id.as_str(),
+            alone,
+        });
+    }
+
+    /// Notes a whole answer, which clears the request of suspicion.
+    fn succeeded(&mut self, server: &KnownServer) {
+        server.succeed(Instant::now());
+        if self.trial.take().is_some() {
+            self.entry.suspects.absolve(&self.fingerprint);
+        }
     }
 
     fn refusal(&self, kind: RefusalKind, detail: &str) -> Refusal {
@@ -214,6 +303,11 @@
     }
 }
 
+fn fingerprint(job: &Job) -> Fingerprint {
+    let seed = job.seed.map_or(String::new(), |seed| seed.to_string());
+    Fingerprint::of(&[job.tenant.as_str(), job.model.as_str(), &job.prompt, &seed])
+}
+
 /// Adds tokens of a version to the segments.
 pub(super) fn add_segment(segments: &mut Vec<Segment>, version: u64, tokens: u32) {
     if tokens == 0 {
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -10,6 +10,27 @@
     0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0, 30.0, 120.0,
 ];
 
+/// Which attempt of a request it is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Attempt {
+    /// The first.
+    First,
+    /// Another one after a failure without an answer.
+    Retry,
+    /// One that goes on after the tokens that were already made.
+    Resume,
+}
+
+impl Attempt {
+    fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Retry => "retry",
+            Self::Resume => "resume",
+        }
+    }
+}
+
 /// Counters and histograms of one entry.
 #[derive(Debug)]
 pub struct EntryMetrics {
@@ -17,6 +38,8 @@
     tokens: Counter<u64>,
     first: Histogram<f64>,
     waiting: Gauge<u64>,
+    attempts: Counter<u64>,
+    crashes: Counter<u64>,
 }
 
 impl EntryMetrics {
@@ -36,7 +59,15 @@
         let waiting = meter
             .u64_gauge("basillead_waiting_requests")
             .with_description("Requests that wait for leave to run.");
+        let attempts = meter
+            .u64_counter("basillead_attempts")
+            .with_description("Attempts on backend servers: first ones, retries, resumes.");
+        let crashes = meter
+            .u64_counter("basillead_server_crashes")
+            .with_description("Requests that ran on a backend server when it crashed.");
         Self {
+            attempts: attempts.build(),
+            crashes: crashes.build(),
             waiting: waiting.build(),
             requests: requests.build(),
             tokens: tokens.build(),
@@ -44,6 +75,16 @@
         }
     }
 
+    /// Counts an attempt on a backend server.
+    pub fn attempt(&self, kind: Attempt) {
+        self.attempts.add(1, &[KeyValue::new("kind", kind.name())]);
+    }
+
+    /// Counts a request that ran on a server when it crashed.
+    pub fn crash(&self, alone: bool) {
+        self.crashes.add(1, &[KeyValue::new("alone", alone)]);
+    }
+
     /// States how many requests wait.
     pub fn waiting(&self, requests: usize) {
         self.waiting.record(requests as u64, &[]);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod api;
 mod auth;
 mod choose;
+mod eject;
 mod engine;
 mod enter;
 mod fair;
@@ -17,11 +18,19 @@
 mod metrics;
 mod others;
 mod path;
+mod place;
 mod plain;
+mod poison;
+pub mod prefix;
+mod report;
+mod retry;
 mod sample;
 mod serve;
 mod servers;
+mod share;
 mod stream;
+mod subset;
+mod suspect;
 mod usage;
 
 use std::sync::Arc;
@@ -50,6 +59,8 @@
     usage: UsageCounters,
     admission: admit::Admission,
     limits: limit::Limits,
+    retries: retry::RetryBudget,
+    suspects: Arc<suspect::Suspects>,
     others: ArcSwap<others::Others>,
     client: Client,
     metrics: Metrics,
@@ -73,6 +84,8 @@
             usage: UsageCounters::default(),
             admission: admit::Admission::default(),
             limits: limit::Limits::default(),
+            retries: retry::RetryBudget::default(),
+            suspects: Arc::default(),
             others: ArcSwap::default(),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
--- a/src/entry/others.rs
+++ b/src/entry/others.rs
@@ -4,6 +4,8 @@
 
 use crate::names::{ServerId, Tenant};
 
+use super::suspect::Trial;
+
 /// The other entries' work, as last heard.
 #[derive(Clone, Debug, Default)]
 pub struct Others {
@@ -13,6 +15,8 @@
     pub inflight: BTreeMap<ServerId, f64>,
     /// Their demand by tenant, in tokens a second.
     pub demand: BTreeMap<Tenant, f64>,
+    /// Suspect requests that they run.
+    pub trials: Vec<Trial>,
 }
 
 impl Others {
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -7,16 +7,19 @@
 use http::{HeaderMap, Method, Request, StatusCode, header};
 
 use crate::http::{ClientError, Refusal, RefusalKind, Response, whole};
-use crate::manifest::RouteSpec;
+use crate::manifest::{RetryPolicy, RouteSpec};
 use crate::names::{ServerId, Tenant};
 use crate::util::unix_ms;
 use crate::wire::UsageUnit;
 
 use super::Entry;
+use super::choose::Work;
+use super::eject::Failure;
 use super::enter::{self, Arrival};
 use super::fair::Class;
 use super::leak;
-use super::servers::Need;
+use super::metrics::Attempt;
+use super::servers::{Inflight, Need};
 
 /// Cost of a call, which has no tokens.
 const CALL_COST: f64 = 1.0;
@@ -114,22 +117,24 @@
     let repeat = may_repeat(route, &call.method);
     let mut avoid: Vec<ServerId> = Vec::new();
     let mut sent = false;
+    entry.retries.earn();
+    entry.counts.attempt(Attempt::First);
     while avoid.len() < ATTEMPTS_MAX {
-        let need = Need {
-            pool: &route.pool,
-            avoid: &avoid,
-            zone: &entry.settings.zone,
-            policy: entry.config.state().manifest.policy.choice,
-        };
-        let Some(inflight) = entry.servers.pick(&need, Instant::now()) else {
+        if !avoid.is_empty() && !may_retry(entry) {
+            break;
+        }
+        let Some(inflight) = pick(entry, route, &avoid) else {
             break;
         };
         let tried = attempt(entry, &inflight.server.address, call, repeat, deadline).await;
         let error = match tried {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => {
+                inflight.server.succeed(Instant::now());
+                return Ok(answer);
+            }
             Err(error) => error,
         };
-        entry.servers.suspect(&inflight.server, Instant::now());
+        inflight.server.fail(failure(&error), Instant::now());
         sent |= !error.is_unsent();
         if !repeat && sent {
             let detail = format!("the service failed while it ran the call: {error}");
@@ -147,6 +152,47 @@
     ))
 }
 
+/// Takes a retry from the entry's budget.
+fn may_retry(entry: &Entry) -> bool {
+    let policy = entry.config.state().manifest.policy.retries;
+    let allowed = policy == RetryPolicy::Unlimited || entry.retries.spend();
+    if allowed {
+        entry.counts.attempt(Attempt::Retry);
+    }
+    allowed
+}
+
+fn pick(entry: &Entry, route: &RouteSpec, avoid: &[ServerId]) -> Option<Inflight> {
+    let state = entry.config.state();
+    let spec = state.manifest.pools.get(&route.pool);
+    let need = Need {
+        pool: &route.pool,
+        model: None,
+        version: None,
+        avoid,
+        shun: &[],
+        zone: &entry.settings.zone,
+        instance: &entry.settings.instance,
+        policy: state.manifest.policy,
+        slots: spec.map_or(1.0, |spec| enter::float(spec.slots)),
+        work: Work {
+            prompt: 0.0,
+            answer: CALL_COST,
+        },
+        blocks: &[],
+    };
+    let others = entry.others.load();
+    entry.servers.pick(&need, &others, Instant::now())
+}
+
+fn failure(error: &ClientError) -> Failure {
+    if error.is_unsent() {
+        Failure::Unreachable
+    } else {
+        Failure::Broken
+    }
+}
+
 fn refusal(sent: bool, kind: RefusalKind, detail: &str) -> Refusal {
     if sent {
         Refusal::unknown(kind, detail)
--- /dev/null
+++ b/src/entry/retry.rs
@@ -0,0 +1,82 @@
+//! The retry budget: how many attempts beyond the first one an entry makes.
+
+use parking_lot::Mutex;
+
+/// Retries allowed for each first attempt.
+const RATIO: f64 = 0.08;
+/// Retries that may be saved up.
+const SAVED_MAX: f64 = 16.0;
+
+/// A token bucket filled by first attempts and emptied by retries.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    saved: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self { saved: SAVED_MAX }
+    }
+}
+
+impl Budget {
+    /// Notes a first attempt.
+    pub fn earn(&mut self) {
+        self.saved = (self.saved + RATIO).min(SAVED_MAX);
+    }
+
+    /// Takes one retry, if one is left.
+    #[must_use]
+    pub fn spend(&mut self) -> bool {
+        let left = self.saved >= 1.0;
+        if left {
+            self.saved -= 1.0;
+        }
+        left
+    }
+}
+
+/// The budget of one entry.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    budget: Mutex<Budget>,
+}
+
+impl RetryBudget {
+    /// Notes a first attempt.
+    pub fn earn(&self) {
+        self.budget.lock().earn();
+    }
+
+    /// Takes one retry, if one is left.
+    #[must_use]
+    pub fn spend(&self) -> bool {
+        self.budget.lock().spend()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn spend_bounds_attempts_when_all_fail() {
+        let mut budget = Budget::default();
+        let mut attempts = 0;
+        for _ in 0..1_000 {
+            budget.earn();
+            attempts += 1;
+            while budget.spend() {
+                attempts += 1;
+            }
+        }
+        assert!(attempts <= 1_100, "{attempts}");
+    }
+
+    #[test]
+    fn spend_allows_saved_retries() {
+        let mut budget = Budget::default();
+        let spent = std::iter::repeat_with(|| budget.spend()).take_while(|left| *left);
+        assert_eq!(spent.count(), 16);
+    }
+}
--- /dev/null
+++ b/src/entry/subset.rs
@@ -0,0 +1,69 @@
+//! The servers that one entry works with, by rendezvous hashing.
+
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
+
+use crate::names::{InstanceId, ServerId};
+
+/// How much an instance prefers a server; the highest are its subset.
+#[must_use]
+pub fn score(instance: &InstanceId, server: &ServerId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    instance.as_str().hash(&mut hasher);
+    server.as_str().hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Whether each server is among the `size` that `instance` works with; 0 means all.
+#[must_use]
+pub fn members(instance: &InstanceId, servers: &[&ServerId], size: usize) -> Vec<bool> {
+    if size == 0 || servers.len() <= size {
+        return vec![true; servers.len()];
+    }
+    let scores: Vec<u64> = servers.iter().map(|id| score(instance, id)).collect();
+    let mut order = scores.clone();
+    order.sort_unstable_by(|a, b| b.cmp(a));
+    scores.iter().map(|one| *one >= order[size - 1]).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ids(count: usize) -> Vec<ServerId> {
+        (0..count)
+            .map(|n| ServerId::from(format!("s{n}")))
+            .collect()
+    }
+
+    fn subset(instance: usize, servers: &[ServerId], size: usize) -> Vec<ServerId> {
+        let instance = InstanceId::from(format!("i{instance}"));
+        let refs: Vec<&ServerId> = servers.iter().collect();
+        let inside = members(&instance, &refs, size);
+        let kept = servers.iter().zip(inside).filter(|(_, inside)| *inside);
+        kept.map(|(id, _)| id.clone()).collect()
+    }
+
+    #[test]
+    fn members_change_little_when_a_server_leaves() {
+        let all = ids(100);
+        let before = subset(1, &all, 20);
+        assert_eq!(before.len(), 20);
+        let rest: Vec<ServerId> = all.iter().filter(|id| **id != before[0]).cloned().collect();
+        let after = subset(1, &rest, 20);
+        let kept = before.iter().filter(|id| after.contains(id)).count();
+        assert_eq!(kept, 19);
+    }
+
+    #[test]
+    fn members_cover_all_servers() {
+        let all = ids(60);
+        let mut uses = vec![0; all.len()];
+        for instance in 0..35 {
+            for id in subset(instance, &all, 20) {
+                let place = all.iter().position(|one| *one == id).expect("a known id");
+                uses[place] += 1;
+            }
+        }
+        assert!(uses.iter().all(|count| *count > 0), "{uses:?}");
+    }
+}
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -68,6 +68,56 @@
     pub choice: ChoicePolicy,
     /// How waiting requests are ordered.
     pub queue: QueuePolicy,
+    /// When a request that cannot run in time is refused.
+    pub refusal: RefusalPolicy,
+    /// How many attempts are made beyond the first ones.
+    pub retries: RetryPolicy,
+    /// What becomes of failing backend servers.
+    pub ejection: EjectionPolicy,
+    /// What becomes of requests that crash backend servers.
+    pub poison: PoisonPolicy,
+    /// Backend servers of a pool that one entry works with; 0 for all.
+    pub subset: usize,
+}
+
+/// When a request that cannot run in time is refused.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RefusalPolicy {
+    /// As soon as its answer would come after its deadline.
+    #[default]
+    Early,
+    /// Only when the queue is full or the deadline has passed.
+    Late,
+}
+
+/// How many attempts are made beyond the first ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryPolicy {
+    /// A small share of the first ones.
+    #[default]
+    Budget,
+    /// As many as each request may make.
+    Unlimited,
+}
+
+/// What becomes of failing backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EjectionPolicy {
+    /// They are left out and return slowly.
+    #[default]
+    Slow,
+    /// They keep getting work.
+    Never,
+}
+
+/// What becomes of requests that crash backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PoisonPolicy {
+    /// They run alone and are then refused.
+    #[default]
+    Contain,
+    /// They run like all others.
+    Ignore,
 }
 
 /// How a backend server is chosen.
--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -4,8 +4,8 @@
 use std::ops::RangeInclusive;
 
 use super::{
-    ChoicePolicy, Limits, Manifest, ModelSpec, Policy, PoolKind, PoolSpec, QueuePolicy, RouteSpec,
-    TenantSpec,
+    ChoicePolicy, EjectionPolicy, Limits, Manifest, ModelSpec, PoisonPolicy, Policy, PoolKind,
+    PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RouteSpec, TenantSpec,
 };
 use crate::checked::Table;
 use crate::names::{Model, Pool, Tenant};
@@ -79,9 +79,30 @@
         ("round-robin", ChoicePolicy::RoundRobin),
     ];
     let queues = [("fair", QueuePolicy::Fair), ("fifo", QueuePolicy::Fifo)];
+    let refusals = [
+        ("early", RefusalPolicy::Early),
+        ("late", RefusalPolicy::Late),
+    ];
+    let retries = [
+        ("budget", RetryPolicy::Budget),
+        ("unlimited", RetryPolicy::Unlimited),
+    ];
+    let ejections = [
+        ("slow", EjectionPolicy::Slow),
+        ("never", EjectionPolicy::Never),
+    ];
+    let poisons = [
+        ("contain", PoisonPolicy::Contain),
+        ("ignore", PoisonPolicy::Ignore),
+    ];
     Policy {
         choice: table.choice_or("choice", ChoicePolicy::default(), &choices),
         queue: table.choice_or("queue", QueuePolicy::default(), &queues),
+        refusal: table.choice_or("refusal", RefusalPolicy::default(), &refusals),
+        retries: table.choice_or("retries", RetryPolicy::default(), &retries),
+        ejection: table.choice_or("ejection", EjectionPolicy::default(), &ejections),
+        poison: table.choice_or("poison", PoisonPolicy::default(), &poisons),
+        subset: size(table.number_or("subset", 0, &SERVERS)),
     }
 }
 
