--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -8,11 +8,15 @@
 use tokio::sync::Notify;
 
 use crate::edge::{EdgeResult, Instances, Log, Stream};
-use crate::lease::{Due, Held, Roles, is_eligible};
+use crate::lease::{Due, Held, Roles};
 use crate::log::Backoff;
 use crate::names::{Incarnation, InstanceId};
+use crate::rank::is_chosen;
 use crate::wire::{Instance, LeaseHeld, LeaseRecord, LogPage, Role};
 
+/// Instances that may claim one role.
+const ELIGIBLE: usize = 5;
+
 /// All roles.
 const ROLES: [Role; 3] = [Role::Servers, Role::Usage, Role::Weights];
 /// Longest wait of one read at the stream's head.
@@ -174,7 +178,7 @@
     }
 
     fn may_claim(&self, role: Role, list: &[Instance]) -> bool {
-        is_eligible(role, self.instance.as_str(), list)
+        is_chosen(&role, ELIGIBLE, self.instance.as_str(), list)
     }
 
     /// Folds a page that was received at `received`.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -112,8 +112,8 @@
     /// The address cannot be bound.
     pub async fn run(self) -> std::io::Result<()> {
         let control = Arc::new(self);
-        let config = Arc::clone(&control.config);
-        tokio::spawn(async move { config.follow().await });
+        let state = Arc::clone(&control);
+        tokio::spawn(async move { state.config.follow(|| state.peers.reads_log()).await });
         control.peers.run().await?;
         tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
         let leases = Arc::clone(&control.leases);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -173,7 +173,7 @@
 }
 
 async fn follow_config(entry: Arc<Entry>) {
-    entry.config.follow().await;
+    entry.config.follow(|| entry.peers.reads_log()).await;
 }
 
 async fn follow_servers(entry: Arc<Entry>) {
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -3,7 +3,6 @@
 //! [`Candidate`] decides on one role, [`Roles`] on all roles of a process from pages of the
 //! lease stream. Both run unchanged in the generated schedules of the tests.
 
-mod rank;
 mod roles;
 #[cfg(test)]
 mod schedule;
@@ -14,7 +13,6 @@
 use crate::log::{Lease, LeaseChange};
 use crate::wire::{LeaseBody, LeaseRecord, Role};
 
-pub use rank::is_eligible;
 pub use roles::{Due, Roles};
 
 /// Time for which a claim or renewal holds.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod manifest;
 pub mod names;
 pub mod peer;
+pub mod rank;
 pub mod settings;
 #[cfg(feature = "standin")]
 pub mod standin;
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -6,16 +6,17 @@
 use crate::manifest::Manifest;
 use crate::names::{KeyDigest, ServerId, Tenant, sha256_hex};
 use crate::wire::{
-    ConfigBody, ConfigRecord, ConfigSnapshot, KeyEntry, RoundEntry, RoundSpec, Verdict,
+    ConfigBody, ConfigRecord, ConfigSnapshot, KeyEntry, KnownVerdict, RoundEntry, RoundSpec,
+    Verdict,
 };
 
-/// Verdicts that are remembered for whoever appended the records.
-const VERDICTS_KEPT: usize = 4_096;
 /// Most samples of one round.
 const ROUND_SAMPLES_MAX: u64 = 65_536;
 
-/// Ids of records whose repeats change nothing; every reader keeps the same ones.
+/// Records whose repeats change nothing and get the first verdict; the same for every reader.
 const RECENT_KEPT: usize = 256;
+/// Findings of one remembered verdict.
+const FINDINGS_KEPT: usize = 50;
 
 /// What is known of a key.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,8 +48,8 @@
     pub rounds: BTreeMap<String, RoundEntry>,
     /// Backend servers that are marked as leaving and get no new work.
     pub leaving: BTreeSet<ServerId>,
-    /// Ids of the last records.
-    recent: VecDeque<Arc<str>>,
+    /// Verdicts of the last records.
+    recent: VecDeque<Arc<KnownVerdict>>,
 }
 
 impl ConfigState {
@@ -76,7 +77,7 @@
             keys: self.keys.iter().map(key_entry).collect(),
             rounds: self.rounds.values().cloned().collect(),
             leaving: self.leaving.iter().map(ServerId::to_string).collect(),
-            recent: self.recent.iter().map(ToString::to_string).collect(),
+            recent: self.recent.iter().map(|known| (**known).clone()).collect(),
         }
     }
 }
@@ -90,11 +91,10 @@
     }
 }
 
-/// Folds records into a state and keeps the latest verdicts.
+/// Folds records into a state.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigFold {
     state: ConfigState,
-    verdicts: VecDeque<(String, Verdict)>,
 }
 
 impl ConfigFold {
@@ -107,8 +107,8 @@
     /// The verdict on the record with this id, once it was folded.
     #[must_use]
     pub fn verdict(&self, id: &str) -> Option<&Verdict> {
-        let found = self.verdicts.iter().rev().find(|(known, _)| known == id);
-        found.map(|(_, verdict)| verdict)
+        let found = self.state.recent.iter().rev().find(|known| known.id == id);
+        found.map(|known| &known.verdict)
     }
 
     /// Folds the record at `offset`; records before the state's `next` change nothing.
@@ -123,7 +123,7 @@
             spdlog::warn!("unreadable record skipped", kv: { offset });
             return;
         };
-        if self.is_repeated(&record.id) {
+        if self.verdict(&record.id).is_some() {
             return;
         }
         let verdict = self.fold(offset, record.body);
@@ -150,29 +150,20 @@
             keys: snapshot.keys.into_iter().map(key_info).collect(),
             rounds: snapshot.rounds.into_iter().map(round_entry).collect(),
             leaving: snapshot.leaving.into_iter().map(ServerId::from).collect(),
-            recent: snapshot.recent.into_iter().map(Arc::from).collect(),
+            recent: snapshot.recent.into_iter().map(Arc::new).collect(),
         };
         true
     }
 
-    /// Whether a record with this id was folded lately; it is now in any case.
-    fn is_repeated(&mut self, id: &str) -> bool {
-        let recent = &mut self.state.recent;
-        if recent.iter().any(|known| &**known == id) {
-            return true;
+    fn remember(&mut self, id: String, mut verdict: Verdict) {
+        if let Verdict::Invalid { findings } = &mut verdict {
+            findings.truncate(FINDINGS_KEPT);
         }
+        let recent = &mut self.state.recent;
         if recent.len() == RECENT_KEPT {
             recent.pop_front();
         }
-        recent.push_back(id.into());
-        false
-    }
-
-    fn remember(&mut self, id: String, verdict: Verdict) {
-        if self.verdicts.len() == VERDICTS_KEPT {
-            self.verdicts.pop_front();
-        }
-        self.verdicts.push_back((id, verdict));
+        recent.push_back(Arc::new(KnownVerdict { id, verdict }));
     }
 
     fn fold(&mut self, offset: u64, body: ConfigBody) -> Verdict {
@@ -315,3 +306,36 @@
 fn round_entry(entry: RoundEntry) -> (String, RoundEntry) {
     (entry.spec.name.clone(), entry)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn manifest(id: &str, base: u64) -> String {
+        let text = format!("base = {base}\n[[tenants]]\nname = \"desk\"\n");
+        let record = ConfigRecord {
+            body: ConfigBody::Manifest { base, text },
+            id: id.to_owned(),
+        };
+        serde_json::to_string(&record).expect("a record")
+    }
+
+    #[test]
+    fn restore_keeps_verdicts() {
+        let mut reader = ConfigFold::default();
+        reader.apply(0, &manifest("a", 0));
+        reader.apply(1, &manifest("b", 0));
+        let mut taker = ConfigFold::default();
+        assert!(taker.restore(2, reader.state().snapshot()));
+        for id in ["a", "b"] {
+            assert_eq!(taker.verdict(id), reader.verdict(id), "{id}");
+        }
+        // A repeat that took effect late changes neither the state nor the verdict.
+        taker.apply(2, &manifest("a", 0));
+        assert!(matches!(
+            taker.verdict("a"),
+            Some(Verdict::Accepted { revision: 1, .. })
+        ));
+        assert_eq!(taker.state().revision, 1);
+    }
+}
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -1,6 +1,7 @@
 //! Follows the configuration stream and publishes the folded state.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -12,7 +13,29 @@
 use crate::wire::{ConfigBody, ConfigRecord, ConfigSnapshot, LogPage, Verdict};
 
 /// Longest wait of one read at the log's head.
-const POLL_WAIT: Duration = Duration::from_millis(800);
+const POLL_WAIT: Duration = Duration::from_millis(400);
+/// Time without word of the log's head from peers after which a daemon reads it itself.
+const PEER_SILENCE: Duration = Duration::from_millis(2_400);
+/// Pause of a daemon that leaves reading to its peers.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// Counts a submitted record that waits for its verdict, until it is dropped.
+#[derive(Debug)]
+struct SubmitGuard<'a>(&'a AtomicUsize);
+
+impl<'a> SubmitGuard<'a> {
+    fn new(submits: &'a AtomicUsize) -> Self {
+        submits.fetch_add(1, Ordering::Relaxed);
+        Self(submits)
+    }
+}
+
+impl Drop for SubmitGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// When this process last knew the log's head.
 #[derive(Debug)]
 pub struct Freshness {
@@ -50,6 +73,7 @@
     state: ArcSwap<ConfigState>,
     next: watch::Sender<u64>,
     freshness: Freshness,
+    submits: AtomicUsize,
     /// After a gap, the offset up to which a snapshot was searched.
     gap: Mutex<Option<u64>>,
     snapshots: Mutex<SnapshotClock>,
@@ -68,6 +92,7 @@
                 seen: Mutex::new(None),
                 read: Mutex::new(None),
             },
+            submits: AtomicUsize::new(0),
             gap: Mutex::new(None),
             snapshots: Mutex::default(),
         }
@@ -109,6 +134,7 @@
     ///
     /// Repeats are harmless: the first record with an id counts.
     pub async fn submit(&self, record: &ConfigRecord, deadline: Instant) -> Option<Verdict> {
+        let _submit = SubmitGuard::new(&self.submits);
         let text = serde_json::to_string(record).ok()?;
         let mut next = self.watch();
         let mut backoff = Backoff::default();
@@ -127,10 +153,17 @@
         self.verdict(&record.id)
     }
 
-    /// Follows the stream for ever.
-    pub async fn follow(&self) {
+    /// Follows the stream for ever, while `reads` says that this daemon is to read it.
+    ///
+    /// A daemon that is not gets head and state from its peers, and reads for itself when
+    /// they fall silent or when it waits for a verdict.
+    pub async fn follow(&self, reads: impl Fn() -> bool) {
         let mut backoff = Backoff::default();
         loop {
+            if !reads() && !self.must_read(Instant::now()) {
+                tokio::time::sleep(READ_PAUSE).await;
+                continue;
+            }
             match self.step().await {
                 Ok(()) => backoff.reset(),
                 Err(error) => {
@@ -141,6 +174,13 @@
         }
     }
 
+    /// Whether peers are silent on the log's head, or a verdict is waited for.
+    fn must_read(&self, now: Instant) -> bool {
+        let seen = self.freshness.seen();
+        let is_known = seen.is_some_and(|seen| now < seen + PEER_SILENCE);
+        !is_known || self.submits.load(Ordering::Relaxed) > 0
+    }
+
     /// Reads one page and folds it.
     async fn step(&self) -> EdgeResult<()> {
         let from = self.from();
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -35,6 +35,7 @@
 use crate::edge::Instances;
 use crate::log::ConfigLog;
 use crate::names::{Incarnation, KeyDigest, Secret, Zone};
+use crate::rank::is_chosen;
 use crate::settings::{Listen, Settings};
 use crate::util::millis;
 use crate::wire::{
@@ -44,6 +45,8 @@
 use calls::Calls;
 use table::DigestTable;
 
+/// Instances that read the configuration stream; the others hear of it from peers.
+const LOG_READERS: usize = 12;
 /// Time after which this daemon's beat is counted up.
 const BEAT: Duration = Duration::from_millis(900);
 /// Time between two changes of a digest's content, unless the change is urgent.
@@ -226,6 +229,13 @@
         found.cloned()
     }
 
+    /// Whether this daemon is among those that read the log for the others.
+    #[must_use]
+    pub fn reads_log(&self) -> bool {
+        let listed = self.listed();
+        is_chosen(&"config", LOG_READERS, self.me.instance.as_str(), &listed)
+    }
+
     /// The instances of this region, as last listed.
     #[must_use]
     pub fn listed(&self) -> Arc<Vec<Instance>> {
--- /dev/null
+++ b/src/rank.rs
@@ -0,0 +1,80 @@
+//! Which few of the listed instances do a duty, so that its cost does not grow with the list.
+
+use std::collections::BTreeSet;
+use std::hash::{DefaultHasher, Hash, Hasher as _};
+
+use crate::wire::{Instance, InstanceState};
+
+/// Whether `instance` is among the `count` listed instances that are chosen for `duty`.
+///
+/// They are ranked by rendezvous hashing, one of each availability zone first, so that the
+/// loss of a zone leaves some. Without enough live instances every one is chosen.
+#[must_use]
+pub fn is_chosen(duty: &impl Hash, count: usize, instance: &str, list: &[Instance]) -> bool {
+    let mut live: Vec<&Instance> = list
+        .iter()
+        .filter(|listed| listed.state == InstanceState::Live)
+        .collect();
+    if live.len() <= count {
+        return true;
+    }
+    live.sort_by_key(|listed| rank(duty, &listed.id));
+    let mut zones = BTreeSet::new();
+    let (first, rest): (Vec<&Instance>, Vec<&Instance>) = live
+        .into_iter()
+        .partition(|listed| zones.insert(&listed.zone));
+    let mut chosen = first.into_iter().chain(rest).take(count);
+    chosen.any(|listed| listed.id == instance)
+}
+
+fn rank(duty: &impl Hash, id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (duty, id).hash(&mut hasher);
+    hasher.finish()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn list(count: usize) -> Vec<Instance> {
+        let one = |n: usize| Instance {
+            control: String::new(),
+            control_peer: String::new(),
+            entry: String::new(),
+            entry_peer: String::new(),
+            id: format!("i{n}"),
+            region: "r".to_owned(),
+            state: InstanceState::Live,
+            zone: format!("z{}", n % 6),
+        };
+        (0..count).map(one).collect()
+    }
+
+    fn chosen(count: usize, list: &[Instance]) -> Vec<usize> {
+        let is_one = |n: &usize| is_chosen(&"duty", count, &list[*n].id, list);
+        (0..list.len()).filter(is_one).collect()
+    }
+
+    #[test]
+    fn chosen_few_of_each_zone() {
+        let list = list(350);
+        let chosen = chosen(12, &list);
+        assert_eq!(chosen.len(), 12);
+        let zones: BTreeSet<usize> = chosen.iter().map(|n| n % 6).collect();
+        assert_eq!(zones.len(), 6);
+    }
+
+    #[test]
+    fn chosen_all_of_a_short_list() {
+        assert_eq!(chosen(12, &list(11)).len(), 11);
+    }
+
+    #[test]
+    fn chosen_without_leaving() {
+        let mut list = list(20);
+        let first = chosen(5, &list)[0];
+        list[first].state = InstanceState::Leaving;
+        assert!(!chosen(5, &list).contains(&first));
+    }
+}
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -92,6 +92,8 @@
     pub relays: Option<Relays>,
     /// The faults in force.
     pub faults: FaultTable,
+    /// Calls by interface and calling instance.
+    pub calls: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Platform {
@@ -105,6 +107,7 @@
             relays,
             reports: Mutex::default(),
             faults: FaultTable::default(),
+            calls: Mutex::default(),
         })
     }
 
@@ -134,6 +137,8 @@
         let body = serve::read(body).await?;
         let body = String::from_utf8_lossy(&body).into_owned();
         let (page, rest) = path.split_once('/').unwrap_or((path, ""));
+        let counted = format!("{page}/{}", instance.unwrap_or_default());
+        *self.calls.lock().entry(counted).or_default() += 1;
         let call = Call {
             instance,
             post: head.method == Method::POST,
@@ -172,6 +177,7 @@
                 Ok(json(&names))
             }
             "orders" => Ok(json(&self.fleet.orders())),
+            "calls" => Ok(json(&*self.calls.lock())),
             _ => Ok(whole(StatusCode::NOT_FOUND, "no such page")),
         }
     }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -91,9 +91,9 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub leaving: ::std::vec::Vec<::std::string::String>,
     pub manifest: ::std::string::String,
-    #[doc = "Ids of the last records, so that repeats stay without effect."]
+    #[doc = "Verdicts of the last records, so that repeats stay without effect and are answered."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub recent: ::std::vec::Vec<::std::string::String>,
+    pub recent: ::std::vec::Vec<KnownVerdict>,
     pub revision: u64,
     pub rounds: ::std::vec::Vec<RoundEntry>,
 }
@@ -343,6 +343,12 @@
     pub tenant: ::std::string::String,
     pub withdrawn: bool,
 }
+#[doc = "The verdict on a record."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct KnownVerdict {
+    pub id: ::std::string::String,
+    pub verdict: Verdict,
+}
 #[doc = "What a lease record says."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod path;
 mod peers;
+mod readers;
 mod rounds;
 mod stop;
 mod trainer;
