--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -9,10 +9,11 @@
 use crate::edge::Servers as _;
 use crate::http::{Refusal, RefusalKind, Response, json, read_body};
 use crate::peer::fresh::FRESH_FOR;
+use crate::peer::table::GONE_AFTER;
 use crate::peer::{Holding, PeerDigest};
 use crate::wire::{
-    BackendServer, ConfigBody, ConfigRecord, InstanceStatus, Published, ServerStatus, Status,
-    Verdict,
+    BackendServer, ConfigBody, ConfigRecord, Daemon, InstanceStatus, Published, ServerStatus,
+    Status, Verdict,
 };
 
 use super::{Control, withdraw};
@@ -109,7 +110,12 @@
 }
 
 fn daemon_status(peer: PeerDigest) -> InstanceStatus {
-    let recent = peer.made.elapsed() < FRESH_FOR;
+    let limit = match peer.digest.daemon {
+        Daemon::Entry => FRESH_FOR,
+        // Control daemons beat less often.
+        Daemon::Control => GONE_AFTER,
+    };
+    let recent = peer.made.elapsed() < limit;
     let digest = peer.digest;
     InstanceStatus {
         config_next: digest.config_next,
--- a/src/entry/address.rs
+++ b/src/entry/address.rs
@@ -19,7 +19,10 @@
     let zone = query.and_then(zone_of);
     let zone = zone.unwrap_or(entry.settings.zone.as_str());
     let turn = rand::random_range(0..usize::MAX);
-    let addresses = select(&entry.peers.digests(), zone, turn, Instant::now());
+    let select = |digests: &mut dyn Iterator<Item = &PeerDigest>| {
+        select(digests, zone, turn, Instant::now())
+    };
+    let addresses = entry.peers.with_digests(select);
     if addresses.is_empty() {
         let detail = "no entry can show that its configuration is up to date";
         return Err(Refusal::not_run(RefusalKind::NotFresh, detail).retry_after(1));
@@ -42,7 +45,12 @@
 /// Entries that are fresh and stay, those of `zone` first.
 ///
 /// `turn` spreads callers over the entries of a zone.
-fn select(digests: &[PeerDigest], zone: &str, turn: usize, now: Instant) -> Vec<Address> {
+fn select<'a>(
+    digests: impl Iterator<Item = &'a PeerDigest>,
+    zone: &str,
+    turn: usize,
+    now: Instant,
+) -> Vec<Address> {
     let mut latest: BTreeMap<&str, &PeerDigest> = BTreeMap::new();
     for peer in digests {
         if peer.digest.daemon == Daemon::Entry {
@@ -110,7 +118,7 @@
     }
 
     fn urls(digests: &[PeerDigest], turn: usize, now: Instant) -> Vec<String> {
-        let selected = select(digests, "z0", turn, now);
+        let selected = select(digests.iter(), "z0", turn, now);
         selected.into_iter().map(|address| address.url).collect()
     }
 
@@ -150,7 +158,7 @@
         old.digest.incarnation = "old".to_owned();
         let new = peer("a", "z0", now + Duration::from_millis(10));
         for digests in [[old.clone(), new.clone()], [new, old]] {
-            let selected = select(&digests, "z0", 0, now);
+            let selected = select(digests.iter(), "z0", 0, now);
             assert_eq!(selected.len(), 1);
             assert_eq!(selected[0].incarnation, "a-run");
         }
--- a/src/peer/dial.rs
+++ b/src/peer/dial.rs
@@ -134,8 +134,9 @@
 /// All daemons that are listed and stay.
 fn targets(peers: &Peers) -> Vec<Target> {
     let leaving: Vec<String> = peers
-        .digests()
-        .iter()
+        .table
+        .lock()
+        .alive(Instant::now())
         .filter(|peer| peer.digest.leaving)
         .map(|peer| target_name(&peer.digest.instance, peer.digest.daemon))
         .collect();
--- a/src/peer/members.rs
+++ b/src/peer/members.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::fresh::{Contact, Knowledge, is_head_recent};
-use super::{Ahead, Link, Peers};
+use super::{Ahead, Link, PeerDigest, Peers};
 use crate::names::{KeyDigest, Tenant};
 use crate::wire::{ConfigSnapshot, Daemon, Instance, PeerMessage};
 
@@ -13,6 +13,8 @@
 const POLL: Duration = Duration::from_secs(1);
 /// Time between two looks at who is in contact.
 const REVIEW: Duration = Duration::from_millis(100);
+/// Age up to which knowledge of the log's head makes a look for a majority needless.
+const HEAD_ENOUGH: Duration = Duration::from_millis(1_500);
 /// Time without an answer of the log after which the state is taken from peers.
 const LOG_SILENCE: Duration = Duration::from_millis(1_200);
 /// Time between two requests for a peer's state.
@@ -80,7 +82,8 @@
     /// How many of the listed instances hold the record at `offset`.
     #[must_use]
     pub fn holding(&self, offset: u64) -> Holding {
-        let digests = self.digests();
+        let table = self.table.lock();
+        let digests: Vec<&PeerDigest> = table.alive(Instant::now()).collect();
         self.count_listed(|instance| {
             digests.iter().any(|peer| {
                 let digest = &peer.digest;
@@ -94,7 +97,8 @@
     /// How many of the listed instances deny a key or hold its withdrawal.
     #[must_use]
     pub fn denying(&self, key: &str) -> Holding {
-        let digests = self.digests();
+        let table = self.table.lock();
+        let digests: Vec<&PeerDigest> = table.alive(Instant::now()).collect();
         self.count_listed(|instance| {
             digests.iter().any(|peer| {
                 let digest = &peer.digest;
@@ -132,7 +136,13 @@
     /// Works out anew until when a majority shows that the configuration is up to date.
     fn review_majority(&self) {
         let now = Instant::now();
-        let until = self.with_knowledge(|known| known.majority_until(now));
+        let seen = self.config.freshness().seen();
+        let is_needed = seen.is_none_or(|seen| now.saturating_duration_since(seen) > HEAD_ENOUGH);
+        let until = if is_needed {
+            self.with_knowledge(|known| known.majority_until(now))
+        } else {
+            None
+        };
         *self.majority.lock() = until;
     }
 
@@ -154,15 +164,15 @@
     fn with_knowledge<T>(&self, decide: impl FnOnce(&Knowledge<'_>) -> T) -> T {
         let listed = self.listed();
         let listed: Vec<&str> = listed.iter().map(|i| i.id.as_str()).collect();
-        let digests = self.digests();
+        let table = self.table.lock();
         let is_entry = self.me.daemon == Daemon::Entry;
         let own = if is_entry {
             self.me.instance.as_str()
         } else {
             ""
         };
-        let contacts: Vec<Contact<'_>> = digests
-            .iter()
+        let contacts: Vec<Contact<'_>> = table
+            .alive(Instant::now())
             .filter(|peer| peer.digest.daemon == Daemon::Entry && peer.digest.instance != own)
             .map(|peer| Contact {
                 instance: &peer.digest.instance,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -44,8 +44,10 @@
 use calls::Calls;
 use table::DigestTable;
 
-/// Time after which this daemon's beat is counted up.
-const BEAT: Duration = Duration::from_millis(900);
+/// Time after which an entry's beat is counted up; majorities rest on entries' beats.
+const BEAT_ENTRY: Duration = Duration::from_millis(900);
+/// Time after which a control daemon's beat is counted up.
+const BEAT_CONTROL: Duration = Duration::from_millis(2_700);
 /// Time between two changes of a digest's content, unless the change is urgent.
 const CONTENT: Duration = Duration::from_millis(450);
 
@@ -215,6 +217,17 @@
         self.table.lock().alive(Instant::now()).cloned().collect()
     }
 
+    /// Looks at the digests of all daemons that are not gone, without copying them.
+    ///
+    /// `look` must not ask for digests itself.
+    pub fn with_digests<T>(
+        &self,
+        look: impl FnOnce(&mut dyn Iterator<Item = &PeerDigest>) -> T,
+    ) -> T {
+        let table = self.table.lock();
+        look(&mut table.alive(Instant::now()))
+    }
+
     /// The digest of one incarnation, unless it is gone.
     #[must_use]
     pub fn digest(&self, incarnation: &str) -> Option<PeerDigest> {
@@ -345,13 +358,17 @@
         let counted = &mut *counted;
         let known = table.get(self.me.incarnation.as_str());
         let beats = known.is_none_or(|k| k.digest.config_next != next || k.digest.fresh != fresh);
+        let beat = match self.me.daemon {
+            Daemon::Entry => BEAT_ENTRY,
+            Daemon::Control => BEAT_CONTROL,
+        };
         let due = |at: Option<Instant>, pause| at.is_none_or(|at| now >= at + pause);
         let denied = self.denied.keys();
         let differs = counted.own != counted.told || counted.revision != state.revision;
         let changed = counted.content == 0
             || counted.denied != denied
             || differs && due(counted.content_at, CONTENT);
-        if !(changed || beats || due(counted.beat_at, BEAT)) {
+        if !(changed || beats || due(counted.beat_at, beat)) {
             return;
         }
         counted.seq += 1;
