--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -8,7 +8,7 @@
 use xitca_web::body::RequestBody;
 
 use crate::entry::bearer;
-use crate::http::{Refusal, RefusalKind, Request, Response, refuse, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, finish, whole};
 
 use super::rounds::{self, Rounds};
 use super::{Control, operator};
@@ -26,16 +26,14 @@
     if is_work && active.is_none() {
         let detail = "this control daemon is shutting down; use another one";
         let refusal = Refusal::not_run(RefusalKind::Leaving, detail).retry_after(1);
-        return refuse(&refusal, &mut body).await;
+        return finish(refusal.response(), &mut body).await;
     }
     let answered = match head.uri.path().strip_prefix("/v1/rounds/sessions") {
         Some(rest) => trainer(&rounds, rest, &head, &mut body).await,
         None => dispatch(&control, &head, &mut body).await,
     };
-    match answered {
-        Ok(answer) => answer,
-        Err(refusal) => refuse(&refusal, &mut body).await,
-    }
+    let answer = answered.unwrap_or_else(|refusal| refusal.response());
+    finish(answer, &mut body).await
 }
 
 /// Answers a trainer's call; `rest` is the path below the sessions.
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -16,6 +16,8 @@
     pub limits: Limits,
     /// Choices between policies.
     pub policy: Policy,
+    /// How weights are loaded.
+    pub weights: WeightLimits,
     /// Length of a usage window in seconds.
     pub window: u64,
     /// Tenants by name.
@@ -70,6 +72,16 @@
     pub queue: QueuePolicy,
     /// How the samples of a round are ordered and carried over.
     pub rounds: RoundPolicy,
+    /// When a request that cannot run in time is refused.
+    pub refusal: RefusalPolicy,
+    /// How many attempts are made beyond the first ones.
+    pub retries: RetryPolicy,
+    /// What becomes of failing backend servers.
+    pub ejection: EjectionPolicy,
+    /// What becomes of requests that crash backend servers.
+    pub poison: PoisonPolicy,
+    /// Backend servers of a pool that one entry works with; 0 for all.
+    pub subset: usize,
 }
 
 /// How the samples of a round are ordered and carried over.
@@ -82,6 +94,46 @@
     Ordered,
 }
 
+/// When a request that cannot run in time is refused.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RefusalPolicy {
+    /// As soon as its answer would come after its deadline.
+    #[default]
+    Early,
+    /// Only when the queue is full or the deadline has passed.
+    Late,
+}
+
+/// How many attempts are made beyond the first ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryPolicy {
+    /// A small share of the first ones.
+    #[default]
+    Budget,
+    /// As many as each request may make.
+    Unlimited,
+}
+
+/// What becomes of failing backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EjectionPolicy {
+    /// They are left out and return slowly.
+    #[default]
+    Slow,
+    /// They keep getting work.
+    Never,
+}
+
+/// What becomes of requests that crash backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PoisonPolicy {
+    /// They run alone and are then refused.
+    #[default]
+    Contain,
+    /// They run like all others.
+    Ignore,
+}
+
 /// How a backend server is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ChoicePolicy {
@@ -104,6 +156,21 @@
     Fifo,
 }
 
+/// How weights are loaded.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightLimits {
+    /// Loads that the weight store serves at a time.
+    pub loads: usize,
+    /// Share of a pool's engines that must go on serving, in percent.
+    pub keep: u64,
+}
+
+impl Default for WeightLimits {
+    fn default() -> Self {
+        Self { loads: 4, keep: 60 }
+    }
+}
+
 /// One tenant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TenantSpec {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod faults;
 pub mod fleet;
+pub mod loading;
 pub mod log;
 pub mod platform;
 pub mod prefix;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -10,11 +10,12 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::de::DeserializeOwned;
 
-use crate::wire::{Appended, Instance, Price, UsageReport};
+use crate::wire::{Appended, Instance, Order, Price, UsageReport};
 
 use super::engine::EngineConfig;
-use super::faults::{FaultTable, Interface, SetFaults};
+use super::faults::{FaultTable, Interface, SetRetention};
 use super::fleet::{Fleet, PoolStandin};
 use super::log::LogStore;
 use super::relay::Relays;
@@ -23,7 +24,8 @@
 
 /// Serves the platform's interfaces and backend servers.
 ///
-/// Each server is given as POOL:KIND:ZONE:COUNT, where KIND is `engine` or `service`.
+/// Servers are given as POOL:KIND:ZONE:COUNT, where KIND is `engine` or `service`;
+/// cheap ones as POOL:KIND:ZONE:COUNT:cheap.
 #[derive(Debug, Options)]
 pub struct Args {
     #[options(help = "print this text")]
@@ -49,6 +51,18 @@
     /// Whether peers' links lead through relays.
     #[options(help = "lead peers' links through relays that can be cut by POST /cut")]
     pub relays: bool,
+    /// Milliseconds for one load of weights.
+    #[options(
+        help = "milliseconds for one load of weights at the full rate",
+        default = "200"
+    )]
+    pub load_ms: u64,
+    /// Loads that the weight store serves at a time.
+    #[options(help = "loads that the weight store serves at a time", default = "4")]
+    pub loads: usize,
+    /// Whether engines ignore fencing numbers.
+    #[options(help = "engines take orders with an old fencing number")]
+    pub unfenced: bool,
     /// Model that engines hold.
     #[options(help = "model that engines hold when they start", default = "stroke-1")]
     pub model: String,
@@ -132,14 +146,25 @@
             "instances" => self.instances_call(call).await,
             "servers" => self.servers_call(call).await,
             "usage" => self.usage_call(call).await,
-            "fault" => Ok(self.fault_call(&call)),
             "cut" => Ok(self.cut_call(&call)),
+            "fault" => Ok(set(&call, |set| self.faults.set(set))),
+            "retain" => Ok(set(&call, |set: SetRetention| {
+                self.log.retain(&set.stream, set.keep);
+            })),
+            "capacity" => Ok(set(&call, |set| self.fleet.limit(&set))),
+            "reclaim" => Ok(set(&call, |reclaim| self.fleet.reclaim(&reclaim))),
             "crash" => {
                 self.fleet.crash(rest);
                 Ok(json(&()))
             }
             "seen" => Ok(json(&self.fleet.record.seen())),
             "runs" => Ok(json(&self.fleet.record.runs())),
+            "loads" => Ok(set(&call, |ends| self.fleet.store.set_ends(ends))),
+            "crossed" => {
+                self.fleet.store.cross_next(rest.parse().unwrap_or(1));
+                Ok(json(&()))
+            }
+            "loaded" => Ok(json(&self.fleet.loaded())),
             "generated" => Ok(json(&self.fleet.generated())),
             "reporters" => {
                 let reports = self.reports.lock();
@@ -160,26 +185,13 @@
     }
 
     fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match (&self.relays, serde_json::from_str(&call.body)) {
-            (Some(relays), Ok(directions)) => {
-                relays.cut(directions);
-                json(&())
-            }
-            (None, _) => whole(StatusCode::BAD_REQUEST, "started without --relays"),
-            (_, Err(error)) => whole(StatusCode::BAD_REQUEST, error.to_string()),
-        }
-    }
-
-    fn fault_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match serde_json::from_str::<SetFaults>(&call.body) {
-            Ok(set) => {
-                self.faults.set(set);
-                json(&())
-            }
-            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        match &self.relays {
+            Some(relays) => set(call, |directions| relays.cut(directions)),
+            None => whole(StatusCode::BAD_REQUEST, "started without --relays"),
         }
     }
 
+    /// Sets how the next loads of weights end.
     async fn log_call(self: Arc<Self>, call: Call<'_>) -> Answer {
         let faults = self.faults.before(Interface::Log, call.instance).await?;
         if !call.post {
@@ -226,13 +238,21 @@
     }
 
     async fn servers_call(&self, call: Call<'_>) -> Answer {
-        self.faults
-            .before(Interface::Servers, call.instance)
-            .await?;
+        let order = serde_json::from_str::<Order>(&call.body);
+        let is_down = self.faults.get(Interface::Servers, call.instance).down;
+        if let Ok(order) = &order
+            && !is_down
+        {
+            // Noted as it arrives, however slow the interface is then.
+            self.fleet.note(order.clone());
+        }
+        let faults = self.faults.before(Interface::Servers, call.instance);
+        let faults = faults.await?;
         if !call.post {
-            return Ok(json(&self.fleet.list()));
+            let lag = Duration::from_millis(faults.lag_ms);
+            return Ok(json(&self.fleet.list(lag)));
         }
-        match serde_json::from_str(&call.body) {
+        match order {
             Ok(order) => {
                 let result = self.fleet.order(order).await;
                 self.faults.after(Interface::Servers, call.instance)?;
@@ -263,6 +283,7 @@
     }
 }
 
+/// The cheap servers of a zone are reclaimed.
 /// One call of the platform.
 struct Call<'a> {
     instance: Option<&'a str>,
@@ -272,6 +293,17 @@
     body: String,
 }
 
+/// Takes a setting over from a call's body.
+fn set<T: DeserializeOwned>(call: &Call<'_>, take: impl FnOnce(T)) -> Response<serve::Body> {
+    match serde_json::from_str(&call.body) {
+        Ok(setting) => {
+            take(setting);
+            json(&())
+        }
+        Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
 /// Serves until the process is told to stop.
 ///
 /// # Errors
@@ -289,17 +321,18 @@
     }
     let engine = EngineConfig {
         token: Duration::from_millis(args.token_ms),
+        fenced: !args.unfenced,
         ..EngineConfig::default()
     };
     let mut pools = BTreeMap::new();
     for spec in &specs {
         pools.insert(spec.pool.clone(), spec.standin(engine, args));
     }
-    let store = WeightStore::new(Duration::from_millis(200));
+    let store = WeightStore::new(Duration::from_millis(args.load_ms), args.loads);
     let fleet = Fleet::new(listen.ip(), store, pools);
     for spec in &specs {
         for _ in 0..spec.count {
-            fleet.start(&spec.pool, &spec.zone, Price::Regular).await?;
+            fleet.start(&spec.pool, &spec.zone, spec.price).await?;
         }
     }
     let instances = match &args.instances {
@@ -319,11 +352,20 @@
     is_engine: bool,
     zone: String,
     count: u32,
+    price: Price,
 }
 
 impl ServerSpec {
     fn parse(text: &str) -> io::Result<Self> {
-        let malformed = || io::Error::other(format!("{text}: expected POOL:KIND:ZONE:COUNT"));
+        let malformed = || {
+            io::Error::other(format!(
+                "{text}: expected POOL:KIND:ZONE:COUNT or with :cheap"
+            ))
+        };
+        let (text, price) = match text.strip_suffix(":cheap") {
+            Some(rest) => (rest, Price::Cheap),
+            None => (text, Price::Regular),
+        };
         let parts: Vec<&str> = text.split(':').collect();
         let [pool, kind, zone, count] = parts[..] else {
             return Err(malformed());
@@ -336,6 +378,7 @@
             is_engine: kind == "engine",
             zone: zone.to_owned(),
             count: count.parse().map_err(|_| malformed())?,
+            price,
         })
     }
 
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,10 +3,13 @@
 
 mod bad_input;
 mod check;
+mod config_log;
 mod drain;
 mod leak;
+mod lease;
 mod once;
 mod openapi;
+mod orders;
 mod path;
 mod peers;
 mod rounds;
@@ -14,4 +17,5 @@
 mod stop;
 mod trainer;
 mod usage;
+mod weights;
 mod workdir;
