--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod readers;
 mod rounds;
+mod slope;
 mod stop;
 mod trainer;
 mod usage;
