--- a/src/cmd/daemon.rs
+++ b/src/cmd/daemon.rs
@@ -46,9 +46,8 @@
     if args.check {
         return Ok(());
     }
+    crate::failpoint::setup();
     telemetry::init_log(settings.log_format, settings.log_level)?;
-    #[cfg(feature = "failpoints")]
-    let _scenario = fail::FailScenario::setup();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.threads)
         .enable_all()
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,9 +8,12 @@
 mod serve;
 mod snapshot;
 pub mod usage;
+mod withdraw;
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use crate::drain::Drain;
 use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
@@ -22,6 +25,12 @@
 
 use rounds::Rounds;
 
+/// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
+const FINISH: Duration = Duration::from_secs(35);
+
+/// Time between two checks of what peers should be told.
+const TELL: Duration = Duration::from_secs(1);
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -29,6 +38,7 @@
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
+    drain: Arc<Drain>,
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     usage: Arc<usage::UsageWindows>,
@@ -87,6 +97,7 @@
             orders: Arc::new(orders),
             config,
             peers,
+            drain: Arc::default(),
             leases,
             usage: Arc::new(usage),
             servers,
@@ -105,8 +116,10 @@
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
         control.peers.run().await?;
+        tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(tell_leases(Arc::clone(&control)));
         tokio::spawn(Arc::clone(&control.usage).run());
         let orders = Arc::clone(&control.orders);
         let log = Arc::clone(&orders.log);
@@ -119,6 +132,7 @@
             &control.settings,
             &control.client,
             Arc::clone(&control.config),
+            Arc::clone(&control.peers),
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
@@ -131,8 +145,34 @@
             incarnation = control.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
-        control.leases.release().await;
+        tokio::select! {
+            () = control.drain() => {}
+            again = crate::util::stop_signal() => again?,
+        }
         drop(server);
         Ok(())
     }
+
+    /// Leaves: hands leases on, refuses new calls, and finishes those that run.
+    async fn drain(&self) {
+        self.drain.leave();
+        self.peers.update(|own| own.leaving = true);
+        self.drain.close();
+        self.leases.release().await;
+        let left = self.drain.finish(Instant::now() + FINISH).await;
+        spdlog::info!("leaving", kv: { left });
+    }
+}
+
+/// Tells peers which leases this process holds, for the operators' status.
+async fn tell_leases(control: Arc<Control>) {
+    let mut told = Vec::new();
+    loop {
+        let held = control.leases.all();
+        if held != told {
+            told.clone_from(&held);
+            control.peers.update(|own| own.leases = held);
+        }
+        tokio::time::sleep(TELL).await;
+    }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod limit;
 mod marked;
 mod metrics;
+mod once;
 mod others;
 mod path;
 mod plain;
@@ -58,6 +59,7 @@
     config: Arc<ConfigLog>,
     peers: Arc<Peers>,
     drain: Arc<Drain>,
+    once: once::OnceTable,
     hold: drain::HoldBound,
     servers: ServerTable,
     log: Arc<HttpLog>,
@@ -101,6 +103,7 @@
             config,
             peers,
             drain: Arc::default(),
+            once: once::OnceTable::default(),
             hold: drain::HoldBound::default(),
             log,
             servers: ServerTable::new(Arc::new(marked)),
@@ -125,6 +128,7 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        once::serve_asks(&entry);
         entry.peers.run().await?;
         tokio::spawn(drain::follow_hold(Arc::clone(&entry)));
         tokio::spawn(usage::follow(Arc::clone(&entry)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod drain;
 pub mod edge;
 pub mod entry;
+pub mod failpoint;
 pub mod http;
 pub mod lease;
 pub mod log;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gumdrop::Options;
 use http::{Method, Request, Response, StatusCode};
@@ -18,6 +18,7 @@
 use super::faults::{FaultTable, Interface, SetRetention};
 use super::fleet::{Fleet, PoolStandin};
 use super::log::LogStore;
+use super::relay::Relays;
 use super::serve::{self, Answer, Served, json, query, whole};
 use super::weights::WeightStore;
 
@@ -40,11 +41,29 @@
     /// Milliseconds for one token.
     #[options(help = "milliseconds for one token of a lone request", default = "2")]
     pub token_ms: u64,
+    /// Milliseconds that a call of a plain service takes.
+    #[options(
+        help = "milliseconds that a call of a plain service takes",
+        default = "1"
+    )]
+    pub work_ms: u64,
+    /// Whether peers' links lead through relays.
+    #[options(help = "lead peers' links through relays that can be cut by POST /cut")]
+    pub relays: bool,
     /// Model that engines hold.
     #[options(help = "model that engines hold when they start", default = "stroke-1")]
     pub model: String,
 }
 
+/// A report as the usage interface got it.
+#[derive(Clone, Debug)]
+pub struct Reported {
+    /// The instance that sent it.
+    pub instance: String,
+    /// The body, byte for byte.
+    pub body: String,
+}
+
 /// The platform.
 #[derive(Debug)]
 pub struct Platform {
@@ -52,10 +71,12 @@
     pub log: LogStore,
     /// The backend servers.
     pub fleet: Arc<Fleet>,
-    /// The instance list.
-    pub instances: Mutex<Vec<Instance>>,
+    /// The instance lists, each with the instant from which it was right.
+    pub instances: Mutex<Vec<(Instant, Vec<Instance>)>>,
     /// Reports that the usage interface got, in order.
-    pub reports: Mutex<Vec<UsageReport>>,
+    pub reports: Mutex<Vec<Reported>>,
+    /// Relays of peers' links, if they lead through any.
+    pub relays: Option<Relays>,
     /// The faults in force.
     pub faults: FaultTable,
 }
@@ -63,11 +84,12 @@
 impl Platform {
     /// A platform with this fleet and these instances.
     #[must_use]
-    pub fn new(fleet: Arc<Fleet>, instances: Vec<Instance>) -> Arc<Self> {
+    pub fn new(fleet: Arc<Fleet>, instances: Vec<Instance>, relays: Option<Relays>) -> Arc<Self> {
         Arc::new(Self {
             log: LogStore::default(),
             fleet,
-            instances: Mutex::new(instances),
+            instances: Mutex::new(vec![(Instant::now(), instances)]),
+            relays,
             reports: Mutex::default(),
             faults: FaultTable::default(),
         })
@@ -117,6 +139,7 @@
             })),
             "capacity" => Ok(set(&call, |set| self.fleet.limit(&set))),
             "reclaim" => Ok(set(&call, |reclaim| self.fleet.reclaim(&reclaim))),
+            "cut" => Ok(self.cut_call(&call)),
             "crash" => {
                 self.fleet.crash(rest);
                 Ok(json(&()))
@@ -124,11 +147,35 @@
             "seen" => Ok(json(&self.fleet.record.seen())),
             "runs" => Ok(json(&self.fleet.record.runs())),
             "generated" => Ok(json(&self.fleet.generated())),
+            "reporters" => {
+                let reports = self.reports.lock();
+                let names: Vec<&str> = reports.iter().map(|report| &*report.instance).collect();
+                Ok(json(&names))
+            }
             "orders" => Ok(json(&self.fleet.orders())),
             _ => Ok(whole(StatusCode::NOT_FOUND, "no such page")),
         }
     }
 
+    /// The instance list as it was `lag` ago.
+    fn listed(&self, lag: Duration) -> Vec<Instance> {
+        let lists = self.instances.lock();
+        let old = lists.iter().rev().find(|(since, _)| since.elapsed() >= lag);
+        let (_, list) = old.unwrap_or(&lists[0]);
+        list.clone()
+    }
+
+    fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
+        match (&self.relays, serde_json::from_str(&call.body)) {
+            (Some(relays), Ok(directions)) => {
+                relays.cut(directions);
+                json(&())
+            }
+            (None, _) => whole(StatusCode::BAD_REQUEST, "started without --relays"),
+            (_, Err(error)) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
     async fn log_call(self: Arc<Self>, call: Call<'_>) -> Answer {
         let faults = self.faults.before(Interface::Log, call.instance).await?;
         if !call.post {
@@ -151,16 +198,24 @@
     }
 
     async fn instances_call(&self, call: Call<'_>) -> Answer {
-        self.faults
+        let faults = self
+            .faults
             .before(Interface::Instances, call.instance)
             .await?;
         if call.post {
             match serde_json::from_str(&call.body) {
-                Ok(list) => *self.instances.lock() = list,
+                Ok(list) => self.instances.lock().push((Instant::now(), list)),
                 Err(error) => return Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
             }
         }
-        Ok(json(&*self.instances.lock()))
+        let list = self.listed(Duration::from_millis(faults.lag_ms));
+        match (&self.relays, call.instance) {
+            (Some(relays), Some(instance)) => {
+                let seen = relays.view(instance, &list, self.fleet.ip()).await?;
+                Ok(json(&seen))
+            }
+            _ => Ok(json(&list)),
+        }
     }
 
     async fn servers_call(&self, call: Call<'_>) -> Answer {
@@ -191,11 +246,16 @@
     async fn usage_call(&self, call: Call<'_>) -> Answer {
         self.faults.before(Interface::Usage, call.instance).await?;
         if !call.post {
-            return Ok(json(&*self.reports.lock()));
+            let reports = self.reports.lock();
+            let bodies: Vec<&str> = reports.iter().map(|report| &*report.body).collect();
+            let list = format!("[{}]", bodies.join(","));
+            return Ok(whole(StatusCode::OK, list));
         }
-        match serde_json::from_str(&call.body) {
-            Ok(report) => {
-                self.reports.lock().push(report);
+        match serde_json::from_str::<UsageReport>(&call.body) {
+            Ok(_) => {
+                let instance = call.instance.unwrap_or_default().to_owned();
+                let body = call.body;
+                self.reports.lock().push(Reported { instance, body });
                 self.faults.after(Interface::Usage, call.instance)?;
                 Ok(json(&()))
             }
@@ -245,7 +305,7 @@
     };
     let mut pools = BTreeMap::new();
     for spec in &specs {
-        pools.insert(spec.pool.clone(), spec.standin(engine, &args.model));
+        pools.insert(spec.pool.clone(), spec.standin(engine, args));
     }
     let store = WeightStore::new(Duration::from_millis(200));
     let fleet = Fleet::new(listen.ip(), store, pools);
@@ -258,7 +318,8 @@
         Some(path) => serde_json::from_str(&std::fs::read_to_string(path)?)?,
         None => Vec::new(),
     };
-    let platform = Platform::new(fleet, instances);
+    let relays = args.relays.then(Relays::default);
+    let platform = Platform::new(fleet, instances, relays);
     let _served = platform.serve(listen).await?;
     crate::util::stop_signal().await
 }
@@ -290,9 +351,9 @@
         })
     }
 
-    fn standin(&self, config: EngineConfig, model: &str) -> PoolStandin {
+    fn standin(&self, config: EngineConfig, args: &Args) -> PoolStandin {
         if self.is_engine {
-            let model = model.to_owned();
+            let model = args.model.clone();
             return PoolStandin::Engine {
                 config,
                 model,
@@ -300,7 +361,7 @@
             };
         }
         PoolStandin::Service {
-            work: Duration::from_millis(1),
+            work: Duration::from_millis(args.work_ms),
         }
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -4,12 +4,15 @@
 mod bad_input;
 mod check;
 mod config_log;
+mod drain;
 mod leak;
 mod lease;
+mod once;
 mod orders;
 mod path;
 mod peers;
 mod rounds;
 mod stop;
 mod trainer;
+mod usage;
 mod workdir;
--- a/tests/suite/orders.rs
+++ b/tests/suite/orders.rs
@@ -17,12 +17,12 @@
 const HOLD_MS: u64 = 3_000;
 /// Named steps of an order.
 const STEPS: [&str; 6] = [
-    "before-intent",
-    "after-intent",
-    "before-send",
-    "connected",
-    "after-send",
-    "before-outcome",
+    "order-before-intent",
+    "order-after-intent",
+    "order-before-send",
+    "order-connected",
+    "order-after-send",
+    "order-before-outcome",
 ];
 const POOL: [&str; 2] = ["--server", "p:engine:z0:0"];
 
@@ -105,8 +105,8 @@
     let case = format!("{step}-{fault:?}");
     let dir = Workdir::new(&case);
     let _platform = dir.platform(2, 2, &POOL);
-    let points = format!("{step}=1*return({HOLD_MS})");
-    let mut holder = dir.control_with(0, 2, &[("FAILPOINTS", &points)]);
+    let points = format!("{step}=1*return(pause {HOLD_MS})");
+    let mut holder = dir.control_failing(0, 2, &points);
     wait_held(&dir, 0, "servers");
     let successor = dir.control(1, 2);
     publish(&dir, &manifest(2, 2, 0));
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -221,16 +221,16 @@
 
     /// Starts a program; what it writes to standard error goes to `NAME.log`.
     pub fn spawn(&self, program: &str, args: &[&str], name: &str) -> Process {
-        self.spawn_with(program, args, name, &[])
+        self.spawn_failing(program, args, name, "")
     }
 
-    /// Starts a program with further environment variables.
-    pub fn spawn_with(
+    /// Starts a program with failpoints set up, as in `FAILPOINTS`.
+    pub fn spawn_failing(
         &self,
         program: &str,
         args: &[&str],
         name: &str,
-        env: &[(&str, &str)],
+        failpoints: &str,
     ) -> Process {
         let log = std::fs::OpenOptions::new()
             .create(true)
@@ -239,7 +239,7 @@
             .expect("a log file");
         let child = Command::new(program)
             .args(args)
-            .envs(env.iter().copied())
+            .env("FAILPOINTS", failpoints)
             .current_dir(self.dir.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -273,15 +273,15 @@
 
     /// Starts the control daemon of instance `n`.
     pub fn control(&self, n: usize, zones: usize) -> Process {
-        self.control_with(n, zones, &[])
+        self.control_failing(n, zones, "")
     }
 
-    /// Starts the control daemon of instance `n` with further environment variables.
-    pub fn control_with(&self, n: usize, zones: usize, env: &[(&str, &str)]) -> Process {
+    /// Starts the control daemon of instance `n` with failpoints set up.
+    pub fn control_failing(&self, n: usize, zones: usize, failpoints: &str) -> Process {
         let settings = self.settings(n, zones);
         let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
         let program = env!("CARGO_BIN_EXE_basillead-control");
-        let process = self.spawn_with(program, &args, &format!("control{n}"), env);
+        let process = self.spawn_failing(program, &args, &format!("control{n}"), failpoints);
         self.wait_http(&format!("{}/healthz", self.control_url(n)));
         process
     }
@@ -309,6 +309,19 @@
         command.output().expect("the command line runs")
     }
 
+    /// Starts the command line against control daemon 0.
+    pub fn spawn_basillead(&self, args: &[&str]) -> Process {
+        self.spawn_basillead_at(0, args)
+    }
+
+    /// Starts the command line against control daemon `n`.
+    pub fn spawn_basillead_at(&self, n: usize, args: &[&str]) -> Process {
+        let control = self.control_url(n);
+        let mut all = args.to_vec();
+        all.extend(["--control", &control, "--key-file", "operator.key"]);
+        self.spawn(env!("CARGO_BIN_EXE_basillead"), &all, "basillead")
+    }
+
     /// Publishes a manifest, which must be accepted.
     pub fn publish(&self, manifest: &str) -> Output {
         self.write("manifest.toml", manifest);
@@ -374,6 +387,15 @@
         );
     }
 
+    /// Takes an interface of the platform down or up, for one instance or all.
+    pub fn fault(&self, interface: &str, instance: Option<&str>, down: bool) {
+        let faults = serde_json::json!({"down": down});
+        let fault = serde_json::json!({
+            "interface": interface, "instance": instance, "faults": faults,
+        });
+        self.platform_post("fault", &fault);
+    }
+
     /// Reads JSON from the platform's own control pages.
     pub fn platform_get<T: DeserializeOwned>(&self, page: &str) -> T {
         let url = format!("{}/{page}", self.platform_url());
