--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -15,3 +15,6 @@
 pub use snapshot::SnapshotClock;
 pub use tail::{ConfigLog, Freshness};
 pub use usage::{CLOSINGS_KEPT, UsageFold, UsageReader};
+
+#[cfg(test)]
+mod tests;
