--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -133,13 +133,13 @@
             "instances" => self.instances_call(call).await,
             "servers" => self.servers_call(call).await,
             "usage" => self.usage_call(call).await,
+            "cut" => Ok(self.cut_call(&call)),
             "fault" => Ok(set(&call, |set| self.faults.set(set))),
             "retain" => Ok(set(&call, |set: SetRetention| {
                 self.log.retain(&set.stream, set.keep);
             })),
             "capacity" => Ok(set(&call, |set| self.fleet.limit(&set))),
             "reclaim" => Ok(set(&call, |reclaim| self.fleet.reclaim(&reclaim))),
-            "cut" => Ok(self.cut_call(&call)),
             "crash" => {
                 self.fleet.crash(rest);
                 Ok(json(&()))
@@ -166,13 +166,9 @@
     }
 
     fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match (&self.relays, serde_json::from_str(&call.body)) {
-            (Some(relays), Ok(directions)) => {
-                relays.cut(directions);
-                json(&())
-            }
-            (None, _) => whole(StatusCode::BAD_REQUEST, "started without --relays"),
-            (_, Err(error)) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        match &self.relays {
+            Some(relays) => set(call, |directions| relays.cut(directions)),
+            None => whole(StatusCode::BAD_REQUEST, "started without --relays"),
         }
     }
 
@@ -182,7 +178,10 @@
             let number = |name| query(call.uri, name).and_then(|text| text.parse().ok());
             let from = number("from").unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-            return Ok(json(&self.log.read(call.rest, from, wait).await));
+            let page = self.log.read(call.rest, from, wait).await;
+            // An outage that began during the wait cuts the answer off too.
+            self.faults.before(Interface::Log, call.instance).await?;
+            return Ok(json(&page));
         }
         if faults.late_ms > 0 {
             let (platform, stream) = (Arc::clone(&self), call.rest.to_owned());
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod leak;
 mod lease;
 mod once;
+mod openapi;
 mod orders;
 mod path;
 mod peers;
--- a/tests/suite/orders.rs
+++ b/tests/suite/orders.rs
@@ -106,7 +106,7 @@
     let dir = Workdir::new(&case);
     let _platform = dir.platform(2, 2, &POOL);
     let points = format!("{step}=1*return(pause {HOLD_MS})");
-    let mut holder = dir.control_failing(0, 2, &points);
+    let mut holder = dir.control_with(0, 2, &[("FAILPOINTS", &points)]);
     wait_held(&dir, 0, "servers");
     let successor = dir.control(1, 2);
     publish(&dir, &manifest(2, 2, 0));
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -221,16 +221,16 @@
 
     /// Starts a program; what it writes to standard error goes to `NAME.log`.
     pub fn spawn(&self, program: &str, args: &[&str], name: &str) -> Process {
-        self.spawn_failing(program, args, name, "")
+        self.spawn_with(program, args, name, &[])
     }
 
-    /// Starts a program with failpoints set up, as in `FAILPOINTS`.
-    pub fn spawn_failing(
+    /// Starts a program with further environment variables.
+    pub fn spawn_with(
         &self,
         program: &str,
         args: &[&str],
         name: &str,
-        failpoints: &str,
+        env: &[(&str, &str)],
     ) -> Process {
         let log = std::fs::OpenOptions::new()
             .create(true)
@@ -239,7 +239,7 @@
             .expect("a log file");
         let child = Command::new(program)
             .args(args)
-            .env("FAILPOINTS", failpoints)
+            .envs(env.iter().copied())
             .current_dir(self.dir.path())
             .stdin(Stdio::null())
             .stdout(Stdio::null())
@@ -273,15 +273,15 @@
 
     /// Starts the control daemon of instance `n`.
     pub fn control(&self, n: usize, zones: usize) -> Process {
-        self.control_failing(n, zones, "")
+        self.control_with(n, zones, &[])
     }
 
-    /// Starts the control daemon of instance `n` with failpoints set up.
-    pub fn control_failing(&self, n: usize, zones: usize, failpoints: &str) -> Process {
+    /// Starts the control daemon of instance `n` with further environment variables.
+    pub fn control_with(&self, n: usize, zones: usize, env: &[(&str, &str)]) -> Process {
         let settings = self.settings(n, zones);
         let args = ["--settings", settings.to_str().expect("a UTF-8 path")];
         let program = env!("CARGO_BIN_EXE_basillead-control");
-        let process = self.spawn_failing(program, &args, &format!("control{n}"), failpoints);
+        let process = self.spawn_with(program, &args, &format!("control{n}"), env);
         self.wait_http(&format!("{}/healthz", self.control_url(n)));
         process
     }
