--- a/tests/suite/orders.rs
+++ b/tests/suite/orders.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use basillead::log::OrderFold;
-use basillead::wire::{LogPage, Order, OrderOutcome, Price, ServerList, ServerState};
+use basillead::wire::{LogPage, Order, OrderOutcome, Price, ServerList, ServerState, Status};
 use http::Method;
 use serde_json::json;
 
 use crate::lease::wait_held;
-use crate::workdir::{Process, Workdir, wait_until, wait_within};
+use crate::workdir::{OPERATOR_KEY, Process, Workdir, wait_until, wait_within};
 
 /// What "within seconds" means.
 const SECONDS: Duration = Duration::from_secs(5);
@@ -31,8 +31,45 @@
 enum Fault {
     /// It dies.
     Kill,
+    /// It dies, and the interface loses answers after their orders took effect.
+    KillLossy,
     /// It is frozen until a successor has acted, then goes on.
     Freeze,
+    /// It is cut off from the log until a successor has acted.
+    CutOff,
+}
+
+const FAULTS: [Fault; 4] = [Fault::Kill, Fault::KillLossy, Fault::Freeze, Fault::CutOff];
+
+impl Fault {
+    fn strike(self, dir: &Workdir, holder: &mut Process) {
+        match self {
+            Self::Kill => holder.0.kill().expect("it can be killed"),
+            Self::KillLossy => {
+                let lossy = json!({"interface": "servers", "faults": {"lose_answers": 2}});
+                dir.platform_post("fault", &lossy);
+                holder.0.kill().expect("it can be killed");
+            }
+            Self::Freeze => holder.signal("STOP"),
+            Self::CutOff => cut_off(dir, true),
+        }
+    }
+
+    /// Ends the fault; returns whether the former holder is alive then.
+    fn end(self, dir: &Workdir, holder: &Process) -> bool {
+        match self {
+            Self::Kill | Self::KillLossy => return false,
+            Self::Freeze => holder.signal("CONT"),
+            Self::CutOff => cut_off(dir, false),
+        }
+        true
+    }
+}
+
+/// Cuts instance 0 off from the log, or lets it reach the log again.
+fn cut_off(dir: &Workdir, down: bool) {
+    let cut = json!({"interface": "log", "instance": "i0", "faults": {"down": down}});
+    dir.platform_post("fault", &cut);
 }
 
 fn manifest(min: u64, max: u64, cheap: u64) -> String {
@@ -111,19 +148,12 @@
     let successor = dir.control(1, 2);
     publish(&dir, &manifest(2, 2, 0));
     wait_until(&case, || dir.log("control0").contains("failpoint"));
-    match fault {
-        Fault::Kill => holder.0.kill().expect("it can be killed"),
-        Fault::Freeze => holder.signal("STOP"),
-    }
+    fault.strike(&dir, &mut holder);
     wait_held(&dir, 1, "servers");
     wait_until(&case, || running(&dir) == 2);
-    if let Fault::Freeze = fault {
-        holder.signal("CONT");
-        // The thawed holder folds this change too, and must not act on it.
-        wait_until("it answers", || {
-            dir.get(&format!("{}/healthz", dir.control_url(0)))
-                .is_some()
-        });
+    if fault.end(&dir, &holder) {
+        // It has read what happened without it, and must not act on the change below.
+        wait_until("the former holder follows again", || follows(&dir, 0));
     }
     publish(&dir, &manifest(3, 3, 0));
     wait_until(&case, || running(&dir) == 3);
@@ -131,9 +161,18 @@
     drop::<Process>(successor);
 }
 
+/// Whether control daemon `n` has folded what the log holds.
+fn follows(dir: &Workdir, n: usize) -> bool {
+    let revision = dir.revision();
+    let url = format!("{}/operator/status", dir.control_url(n));
+    let answer = dir.call(Method::GET, &url, Some(OPERATOR_KEY), &[], "");
+    let status = answer.and_then(|a| serde_json::from_slice::<Status>(a.body()).ok());
+    status.is_some_and(|status| status.revision == revision)
+}
+
 #[test]
 fn orders_faults_at_steps() {
-    for fault in [Fault::Kill, Fault::Freeze] {
+    for fault in FAULTS {
         let cases = STEPS.map(|step| std::thread::spawn(move || run_case(step, fault)));
         for case in cases {
             case.join().expect("a case");
