--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -30,6 +30,9 @@
 /// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
 const FINISH: Duration = Duration::from_secs(35);
 
+/// Time between two checks of what peers should be told.
+const TELL: Duration = Duration::from_secs(1);
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -118,6 +121,7 @@
         tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(tell_leases(Arc::clone(&control)));
         tokio::spawn(Arc::clone(&control.usage).run());
         let orders = Arc::clone(&control.orders);
         let log = Arc::clone(&orders.log);
@@ -170,3 +174,16 @@
         spdlog::info!("leaving", kv: { left });
     }
 }
+
+/// Tells peers which leases this process holds, for the operators' status.
+async fn tell_leases(control: Arc<Control>) {
+    let mut told = Vec::new();
+    loop {
+        let held = control.leases.all();
+        if held != told {
+            told.clone_from(&held);
+            control.peers.update(|own| own.leases = held);
+        }
+        tokio::time::sleep(TELL).await;
+    }
+}
