--- a/src/control/rounds/mod.rs
+++ b/src/control/rounds/mod.rs
@@ -21,6 +21,7 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use tokio::sync::watch;
 
 use crate::edge::{HttpServers, Servers};
 use crate::http::Client;
@@ -99,12 +100,23 @@
         }
     }
 
+    /// Closes all sessions once this daemon is leaving, so that no pull holds it up.
+    ///
+    /// Waiting pulls get what is ready; their trainers go on at another daemon.
+    pub async fn leave(self: Arc<Self>, mut leaving: watch::Receiver<bool>) {
+        // An error means that the daemon is gone already.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+        for session in self.sessions.lock().values() {
+            session.close();
+        }
+    }
+
     /// Closes sessions that are idle, or whose round or key is no longer in force.
     fn drop_ended(&self, now: Instant) {
         let state = self.config.state();
         self.sessions.lock().retain(|_, session| {
             let in_force = state.round(&session.spec.name).is_some();
-            let keyed = state.tenant(&session.key).is_some();
+            let keyed = self.peers.tenant(&session.key).is_some();
             let idle = drive::is_idle(session.used(), now, IDLE);
             if in_force && keyed && !idle {
                 return true;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod platform;
 pub mod prefix;
+pub mod relay;
 pub mod serve;
 pub mod service;
 pub mod weights;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,11 +3,15 @@
 
 mod bad_input;
 mod check;
+mod drain;
 mod leak;
+mod once;
+mod openapi;
 mod path;
 mod peers;
 mod rounds;
 mod stop;
 mod trainer;
+mod usage;
 mod weights;
 mod workdir;
