--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -259,7 +259,9 @@
         }
         let words = request.prompt.split_whitespace().count();
         let cached = self.state.lock().cache.visit(&request.prompt);
-        let missing = u32::try_from(words.saturating_sub(cached)).unwrap_or(u32::MAX);
+        // A resumed answer's tokens are read like a prompt that is not cached.
+        let missing = words.saturating_sub(cached) + request.resume.len();
+        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
         tokio::time::sleep(self.config.prefill * missing).await;
         let total = answer_length(&request);
         let mut index = request.resume.len();
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -14,6 +14,7 @@
 pub mod relay;
 pub mod serve;
 pub mod service;
+pub mod trainer;
 pub mod weights;
 
 use std::process::ExitCode;
@@ -37,6 +38,8 @@
     Platform(platform::Args),
     #[options(help = "go through the main job once and check every answer")]
     Demo(demo::Args),
+    #[options(help = "pull rounds as trainers do, and measure")]
+    Trainer(trainer::Args),
     #[options(help = "compare reported usage with a replay")]
     Compare(demo::CompareArgs),
 }
@@ -52,6 +55,7 @@
     let done = match command {
         Command::Platform(args) => platform::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Trainer(args) => trainer::run(&args),
         Command::Compare(args) => demo::compare(&args),
     };
     match done {
