--- a/src/failpoint.rs
+++ b/src/failpoint.rs
@@ -1,7 +1,7 @@
 //! Named points at which tests pause or abort a process; nothing without the feature.
 //!
 //! The environment variable `FAILPOINTS` says what happens, as in
-//! `usage-before-report=1*return(pause 2000)` or `usage-after-close=1*return(abort)`.
+//! `usage-before-report=1*return(2000)` (a pause in milliseconds) or `usage-after-close=1*return(abort)`.
 
 /// Reads `FAILPOINTS`, for as long as the process runs.
 #[cfg(feature = "failpoints")]
@@ -23,8 +23,7 @@
     if action == "abort" {
         std::process::abort();
     }
-    let pause = action.strip_prefix("pause ").and_then(|ms| ms.parse().ok());
-    let pause = std::time::Duration::from_millis(pause.unwrap_or_default());
+    let pause = std::time::Duration::from_millis(action.parse().unwrap_or_default());
     tokio::time::sleep(pause).await;
 }
 
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -15,11 +15,9 @@
 use xitca_web::http::{RequestExt, WebResponse};
 use xitca_web::service::fn_service;
 
-use super::Refusal;
-
-/// Bytes of a refused request's body that are read and dropped.
+/// Bytes of an unread body that are read and dropped.
 const DISCARD_BYTES: usize = 4 << 20;
-/// Time for which a refused request's body is read.
+/// Time for which an unread body is read.
 const DISCARD_TIME: Duration = Duration::from_millis(200);
 
 /// A request whose body is still arriving.
@@ -126,13 +124,12 @@
     Ok(buf.freeze())
 }
 
-/// The answer to a refused request whose body may not have been read.
+/// Makes an answer ready to send while the request's body may not have been read.
 ///
 /// The rest of the body is read first, within limits: a connection that is closed with bytes
 /// unread is reset, and the caller could lose the answer. What cannot be read in time ends
 /// the connection, which the answer announces.
-pub async fn refuse(refusal: &Refusal, body: &mut RequestBody) -> Response {
-    let mut answer = refusal.response();
+pub async fn finish(mut answer: Response, body: &mut RequestBody) -> Response {
     let rest = read_body(body, DISCARD_BYTES, Instant::now() + DISCARD_TIME).await;
     if rest.is_err() {
         let close = HeaderValue::from_static("close");
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -10,12 +10,12 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use serde::Deserialize;
+use serde::de::DeserializeOwned;
 
-use crate::wire::{Appended, Instance, Price, UsageReport};
+use crate::wire::{Appended, Instance, Order, Price, UsageReport};
 
 use super::engine::EngineConfig;
-use super::faults::{FaultTable, Interface, SetFaults};
+use super::faults::{FaultTable, Interface, SetRetention};
 use super::fleet::{Fleet, PoolStandin};
 use super::log::LogStore;
 use super::relay::Relays;
@@ -42,6 +42,15 @@
     /// Milliseconds for one token.
     #[options(help = "milliseconds for one token of a lone request", default = "2")]
     pub token_ms: u64,
+    /// Milliseconds that a call of a plain service takes.
+    #[options(
+        help = "milliseconds that a call of a plain service takes",
+        default = "1"
+    )]
+    pub work_ms: u64,
+    /// Whether peers' links lead through relays.
+    #[options(help = "lead peers' links through relays that can be cut by POST /cut")]
+    pub relays: bool,
     /// Milliseconds for one load of weights.
     #[options(
         help = "milliseconds for one load of weights at the full rate",
@@ -54,15 +63,6 @@
     /// Whether engines ignore fencing numbers.
     #[options(help = "engines take orders with an old fencing number")]
     pub unfenced: bool,
-    /// Milliseconds that a call of a plain service takes.
-    #[options(
-        help = "milliseconds that a call of a plain service takes",
-        default = "1"
-    )]
-    pub work_ms: u64,
-    /// Whether peers' links lead through relays.
-    #[options(help = "lead peers' links through relays that can be cut by POST /cut")]
-    pub relays: bool,
     /// Model that engines hold.
     #[options(help = "model that engines hold when they start", default = "stroke-1")]
     pub model: String,
@@ -146,16 +146,20 @@
             "instances" => self.instances_call(call).await,
             "servers" => self.servers_call(call).await,
             "usage" => self.usage_call(call).await,
-            "fault" => Ok(self.fault_call(&call)),
             "cut" => Ok(self.cut_call(&call)),
+            "fault" => Ok(set(&call, |set| self.faults.set(set))),
+            "retain" => Ok(set(&call, |set: SetRetention| {
+                self.log.retain(&set.stream, set.keep);
+            })),
+            "capacity" => Ok(set(&call, |set| self.fleet.limit(&set))),
+            "reclaim" => Ok(set(&call, |reclaim| self.fleet.reclaim(&reclaim))),
             "crash" => {
                 self.fleet.crash(rest);
                 Ok(json(&()))
             }
             "seen" => Ok(json(&self.fleet.record.seen())),
             "runs" => Ok(json(&self.fleet.record.runs())),
-            "reclaim" => Ok(self.reclaim_call(&call)),
-            "loads" => Ok(self.loads_call(&call)),
+            "loads" => Ok(set(&call, |ends| self.fleet.store.set_ends(ends))),
             "crossed" => {
                 self.fleet.store.cross_next(rest.parse().unwrap_or(1));
                 Ok(json(&()))
@@ -181,56 +185,23 @@
     }
 
     fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match (&self.relays, serde_json::from_str(&call.body)) {
-            (Some(relays), Ok(directions)) => {
-                relays.cut(directions);
-                json(&())
-            }
-            (None, _) => whole(StatusCode::BAD_REQUEST, "started without --relays"),
-            (_, Err(error)) => whole(StatusCode::BAD_REQUEST, error.to_string()),
-        }
-    }
-
-    fn fault_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match serde_json::from_str::<SetFaults>(&call.body) {
-            Ok(set) => {
-                self.faults.set(set);
-                json(&())
-            }
-            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        match &self.relays {
+            Some(relays) => set(call, |directions| relays.cut(directions)),
+            None => whole(StatusCode::BAD_REQUEST, "started without --relays"),
         }
     }
 
     /// Sets how the next loads of weights end.
-    fn loads_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match serde_json::from_str(&call.body) {
-            Ok(ends) => {
-                self.fleet.store.set_ends(ends);
-                json(&())
-            }
-            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
-        }
-    }
-
-    /// Reclaims the cheap servers of a zone after a notice.
-    fn reclaim_call(&self, call: &Call<'_>) -> Response<serve::Body> {
-        match serde_json::from_str::<Reclaim>(&call.body) {
-            Ok(reclaim) => {
-                let notice = Duration::from_millis(reclaim.notice_ms);
-                self.fleet.reclaim(&reclaim.zone, notice);
-                json(&())
-            }
-            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
-        }
-    }
-
     async fn log_call(self: Arc<Self>, call: Call<'_>) -> Answer {
         let faults = self.faults.before(Interface::Log, call.instance).await?;
         if !call.post {
             let number = |name| query(call.uri, name).and_then(|text| text.parse().ok());
             let from = number("from").unwrap_or(0);
             let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
-            return Ok(json(&self.log.read(call.rest, from, wait).await));
+            let page = self.log.read(call.rest, from, wait).await;
+            // An outage that began during the wait cuts the answer off too.
+            self.faults.before(Interface::Log, call.instance).await?;
+            return Ok(json(&page));
         }
         if faults.late_ms > 0 {
             let (platform, stream) = (Arc::clone(&self), call.rest.to_owned());
@@ -267,13 +238,21 @@
     }
 
     async fn servers_call(&self, call: Call<'_>) -> Answer {
-        self.faults
-            .before(Interface::Servers, call.instance)
-            .await?;
+        let order = serde_json::from_str::<Order>(&call.body);
+        let is_down = self.faults.get(Interface::Servers, call.instance).down;
+        if let Ok(order) = &order
+            && !is_down
+        {
+            // Noted as it arrives, however slow the interface is then.
+            self.fleet.note(order.clone());
+        }
+        let faults = self.faults.before(Interface::Servers, call.instance);
+        let faults = faults.await?;
         if !call.post {
-            return Ok(json(&self.fleet.list()));
+            let lag = Duration::from_millis(faults.lag_ms);
+            return Ok(json(&self.fleet.list(lag)));
         }
-        match serde_json::from_str(&call.body) {
+        match order {
             Ok(order) => {
                 let result = self.fleet.order(order).await;
                 self.faults.after(Interface::Servers, call.instance)?;
@@ -305,13 +284,6 @@
 }
 
 /// The cheap servers of a zone are reclaimed.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Reclaim {
-    zone: String,
-    notice_ms: u64,
-}
-
 /// One call of the platform.
 struct Call<'a> {
     instance: Option<&'a str>,
@@ -321,6 +293,17 @@
     body: String,
 }
 
+/// Takes a setting over from a call's body.
+fn set<T: DeserializeOwned>(call: &Call<'_>, take: impl FnOnce(T)) -> Response<serve::Body> {
+    match serde_json::from_str(&call.body) {
+        Ok(setting) => {
+            take(setting);
+            json(&())
+        }
+        Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+    }
+}
+
 /// Serves until the process is told to stop.
 ///
 /// # Errors
