--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -138,6 +138,7 @@
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
+        tokio::spawn(Arc::clone(&rounds).leave(control.drain.watch()));
         let weights = Weights::new(
             Arc::clone(&control.config),
             Arc::clone(&control.peers),
