Show service-level burn over all entries

Each entry judges its requests against the manifest's objective (good, slow, refused, failed; refusals that are the caller's fault do not count) into slots of time, by tenant and route or model, with a mergeable histogram of the time to the first answer. A control daemon asks all entries that are alive, with the peers' secret, and merges counts and histograms; `basillead burn` shows the burn over a short and a long range and names the worst-served tenant by the lower of both rates, so that neither a short peak nor a past one alone names it.

Ruled out: averaging the entries' quantiles, which is wrong with uneven load.

--- /dev/null
+++ b/src/burn/mod.rs
@@ -0,0 +1,175 @@
+//! Service-level burn: how fast requests use up the share that may go wrong.
+//!
+//! Each entry judges its requests and keeps counts and a histogram for slots of time, which
+//! merge over slots and entries. A burn rate of 1 uses up the budget exactly.
+
+mod ring;
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use hdrhistogram::Histogram;
+use hdrhistogram::serialization::{Deserializer, Serializer as _, V2Serializer};
+
+use crate::http::Refusal;
+use crate::util::millis;
+use crate::wire::{BurnCounts, BurnRange, Run};
+
+pub use ring::Ring;
+
+/// Longest time to a first answer that histograms tell apart, in milliseconds.
+const FIRST_MAX_MS: u64 = 600_000;
+/// Significant digits of the histograms.
+const DIGITS: u8 = 2;
+/// Parts in a million.
+const MILLION: f64 = 1e6;
+
+/// How a request ended, against the objective.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Outcome {
+    /// In time.
+    Good,
+    /// Answered, but too late.
+    Slow,
+    /// Refused without having run.
+    Refused,
+    /// Failed, or cut off after it may have run.
+    Failed,
+}
+
+impl Outcome {
+    /// The outcome of a refusal; nothing if the caller is to blame.
+    #[must_use]
+    pub fn of_refusal(refusal: &Refusal) -> Option<Self> {
+        if !refusal.kind.status().is_server_error() {
+            return None;
+        }
+        Some(match refusal.run {
+            Run::NotRun => Self::Refused,
+            Run::Unknown | Run::Ran => Self::Failed,
+        })
+    }
+
+    /// The outcome of an answer whose first part took `first`.
+    #[must_use]
+    pub fn of_answer(first: Duration, limit_ms: u64) -> Self {
+        if millis(first) > limit_ms {
+            Self::Slow
+        } else {
+            Self::Good
+        }
+    }
+
+    /// The name in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::Slow => "slow",
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Judged requests, with the times to their first answers.
+#[derive(Clone, Debug, Default)]
+pub struct Judged {
+    /// All requests.
+    pub total: u64,
+    /// Refused without having run.
+    pub refused: u64,
+    /// Failed after they may have run.
+    pub failed: u64,
+    /// Answered too late.
+    pub slow: u64,
+    first: Option<Histogram<u64>>,
+}
+
+impl Judged {
+    /// Counts a request; `first` is the time to its first answer, if there was one.
+    pub fn add(&mut self, outcome: Outcome, first: Option<Duration>) {
+        self.total += 1;
+        match outcome {
+            Outcome::Good => {}
+            Outcome::Slow => self.slow += 1,
+            Outcome::Refused => self.refused += 1,
+            Outcome::Failed => self.failed += 1,
+        }
+        if let Some(first) = first {
+            self.histogram().saturating_record(millis(first).max(1));
+        }
+    }
+
+    fn histogram(&mut self) -> &mut Histogram<u64> {
+        self.first.get_or_insert_with(|| {
+            Histogram::new_with_max(FIRST_MAX_MS, DIGITS).expect("the bounds are valid")
+        })
+    }
+
+    /// Adds what another slot or entry judged.
+    pub fn merge(&mut self, other: &Self) {
+        self.total += other.total;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.slow += other.slow;
+        if let Some(first) = &other.first {
+            // The same bounds everywhere: nothing is out of range.
+            let _ = self.histogram().add(first);
+        }
+    }
+
+    /// The counts as a message.
+    #[must_use]
+    pub fn to_wire(&self) -> BurnCounts {
+        let mut bytes = Vec::new();
+        if let Some(first) = &self.first {
+            let _ = V2Serializer::new().serialize(first, &mut bytes);
+        }
+        BurnCounts {
+            failed: self.failed,
+            first: STANDARD.encode(bytes),
+            refused: self.refused,
+            slow: self.slow,
+            total: self.total,
+        }
+    }
+
+    /// The counts of a message; a histogram that does not parse is left out.
+    #[must_use]
+    pub fn from_wire(counts: &BurnCounts) -> Self {
+        let bytes = STANDARD.decode(&counts.first).unwrap_or_default();
+        let first = Deserializer::new().deserialize(&mut bytes.as_slice());
+        Self {
+            total: counts.total,
+            refused: counts.refused,
+            failed: counts.failed,
+            slow: counts.slow,
+            first: first.ok(),
+        }
+    }
+
+    /// The burn against a budget of `ppm` bad requests in a million.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    pub fn burn(&self, ppm: u64) -> BurnRange {
+        let bad = self.refused + self.failed + self.slow;
+        let share = bad as f64 / self.total.max(1) as f64;
+        let quantile = |q| {
+            let first = self.first.as_ref();
+            first.map_or(0, |first| first.value_at_quantile(q))
+        };
+        BurnRange {
+            failed: self.failed,
+            p50_ms: quantile(0.5),
+            p99_ms: quantile(0.99),
+            rate: share * MILLION / ppm.max(1) as f64,
+            refused: self.refused,
+            slow: self.slow,
+            total: self.total,
+        }
+    }
+}
--- /dev/null
+++ b/src/burn/ring.rs
@@ -0,0 +1,57 @@
+//! Judged requests in slots of time, the oldest of which are dropped.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::{Judged, Outcome};
+
+/// Slots in the short range.
+const SLOTS_SHORT: u64 = 5;
+
+/// Slots of time, newest last.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    slots: VecDeque<(u64, Judged)>,
+}
+
+/// Length of a slot in milliseconds, for a short range in seconds.
+fn slot_ms(short: u64) -> u64 {
+    (short * 1_000 / SLOTS_SHORT).max(1)
+}
+
+impl Ring {
+    /// Counts a request that ended at `now` in milliseconds; ranges are in seconds.
+    pub fn add(
+        &mut self,
+        now: u64,
+        (short, long): (u64, u64),
+        outcome: Outcome,
+        first: Option<Duration>,
+    ) {
+        let slot = now / slot_ms(short);
+        if self.slots.back().is_none_or(|(last, _)| *last != slot) {
+            self.slots.push_back((slot, Judged::default()));
+        }
+        if let Some((_, judged)) = self.slots.back_mut() {
+            judged.add(outcome, first);
+        }
+        let kept = (long * 1_000).div_ceil(slot_ms(short));
+        let kept = usize::try_from(kept).unwrap_or(usize::MAX);
+        while self.slots.len() > kept {
+            self.slots.pop_front();
+        }
+    }
+
+    /// What was judged in the `range` seconds before `now`, with slots for `short` seconds.
+    #[must_use]
+    pub fn judged(&self, now: u64, short: u64, range: u64) -> Judged {
+        let current = now / slot_ms(short);
+        let count = (range * 1_000).div_ceil(slot_ms(short));
+        let recent = |slot: u64| slot + count > current;
+        let mut sum = Judged::default();
+        for (_, judged) in self.slots.iter().filter(|(slot, _)| recent(*slot)) {
+            sum.merge(judged);
+        }
+        sum
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Exit statuses: 0 done, 1 failed, 2 wrong usage, 3 refused by basillead.
 
+mod burn;
 mod check;
 pub mod daemon;
 mod key;
@@ -50,6 +51,8 @@
     Status(status::Args),
     #[options(help = "show usage windows")]
     Usage(usage::Args),
+    #[options(help = "show how fast error budgets are used up")]
+    Burn(burn::Args),
     #[options(help = "recompute usage reports from the log alone")]
     Replay(replay::Args),
 }
@@ -71,6 +74,7 @@
         Command::Schema(args) => schema::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Usage(args) => usage::run(&args),
+        Command::Burn(args) => burn::run(&args),
         Command::Replay(args) => replay::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control daemon: the operators' and the platform's side.
 
+mod burn;
 pub mod leases;
 mod operator;
 pub mod orders;
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -8,10 +8,10 @@
 use xitca_web::body::RequestBody;
 
 use crate::entry::bearer;
-use crate::http::{Refusal, RefusalKind, Request, Response, finish, whole};
+use crate::http::{Refusal, RefusalKind, Request, Response, finish, json, whole};
 
 use super::rounds::{self, Rounds};
-use super::{Control, operator};
+use super::{Control, burn, operator};
 
 /// Answers one request.
 pub(super) async fn answer(
@@ -76,6 +76,10 @@
             check_operator(control, head)?;
             operator::status(control).await
         }
+        (&Method::GET, "/operator/burn") => {
+            check_operator(control, head)?;
+            Ok(json(StatusCode::OK, &burn::status(control).await))
+        }
         (&Method::GET, "/operator/usage") => {
             check_operator(control, head)?;
             operator::usage(control).await
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use crate::burn::Outcome;
 use crate::names::Tenant;
 
 /// Buckets for seconds, from a millisecond to two minutes.
@@ -16,6 +17,7 @@
     requests: Counter<u64>,
     tokens: Counter<u64>,
     first: Histogram<f64>,
+    judged: Counter<u64>,
     waiting: Gauge<u64>,
 }
 
@@ -33,6 +35,9 @@
             .f64_histogram("basillead_first_token_seconds")
             .with_description("Time from the request's arrival to its first token.")
             .with_boundaries(SECONDS.to_vec());
+        let judged = meter
+            .u64_counter("basillead_judged_requests")
+            .with_description("Requests by tenant and outcome against the objective.");
         let waiting = meter
             .u64_gauge("basillead_waiting_requests")
             .with_description("Requests that wait for leave to run.");
@@ -41,6 +46,7 @@
             requests: requests.build(),
             tokens: tokens.build(),
             first: first.build(),
+            judged: judged.build(),
         }
     }
 
@@ -59,6 +65,15 @@
         self.requests.add(1, &labels);
     }
 
+    /// Counts a request that was judged against the objective.
+    pub fn judged(&self, tenant: &str, outcome: Outcome) {
+        let labels = [
+            KeyValue::new("tenant", tenant.to_owned()),
+            KeyValue::new("outcome", outcome.name()),
+        ];
+        self.judged.add(1, &labels);
+    }
+
     /// Counts relayed tokens.
     pub fn tokens(&self, tenant: &Tenant, tokens: u64) {
         let labels = [KeyValue::new("tenant", tenant.to_string())];
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod api;
 mod auth;
+mod burn;
 mod choose;
 mod drain;
 mod engine;
@@ -44,6 +45,7 @@
 use crate::wire::Daemon;
 
 pub(crate) use auth::bearer;
+pub use burn::BurnTable;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
 pub use usage::{ADOPT_AFTER, UsageBatch, UsageCopies, UsageCounters};
@@ -63,6 +65,7 @@
     hold: drain::HoldBound,
     servers: ServerTable,
     log: Arc<HttpLog>,
+    burn: BurnTable,
     usage: UsageCounters,
     copies: UsageCopies,
     appends: tokio::sync::Mutex<usage::AppendState>,
@@ -108,6 +111,7 @@
             hold: drain::HoldBound::default(),
             log,
             servers: ServerTable::new(Arc::new(marked)),
+            burn: BurnTable::default(),
             usage: UsageCounters::default(),
             copies: UsageCopies::default(),
             appends: tokio::sync::Mutex::default(),
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -14,6 +14,7 @@
 
 use super::Entry;
 use super::auth::Caller;
+use super::burn::Served;
 use super::enter::{self, Arrival};
 use super::fair::Class;
 use super::fresh;
@@ -78,6 +79,23 @@
 ) -> Result<Response, Refusal> {
     leak::refuse_key("path", call.target.as_bytes())?;
     leak::refuse_key("body", &call.body)?;
+    let tenant = caller.as_ref().map(|caller| &caller.tenant);
+    let served = Served::start(entry, tenant, &route.path);
+    let answered = answer(entry, route, caller, call).await;
+    match &answered {
+        Ok(answer) if answer.status.is_server_error() => served.failed(),
+        Ok(_) => served.first(),
+        Err(refusal) => served.refused(refusal),
+    }
+    answered.map(PlainAnswer::into_response)
+}
+
+async fn answer(
+    entry: &Arc<Entry>,
+    route: &RouteSpec,
+    caller: Option<Caller>,
+    call: PlainCall,
+) -> Result<PlainAnswer, Refusal> {
     let key = if may_repeat(route, &call.method) {
         None
     } else {
@@ -90,14 +108,13 @@
             None => run(entry, route, caller.as_ref(), &call).await,
         }
     };
-    let answer = match valid {
+    match valid {
         Some(key) => {
             fresh::check_key(entry, &key)?;
             fresh::while_valid(entry, &key, Run::Unknown, work).await?
         }
         None => work.await,
-    };
-    Ok(answer?.into_response())
+    }
 }
 
 /// The idempotency key of a call.
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -13,6 +13,7 @@
 
 use super::Entry;
 use super::api::Call;
+use super::burn::Served;
 use super::plain::{self, PlainCall};
 use super::{address, auth, enter, fresh, path, sample, stream};
 
@@ -24,6 +25,7 @@
     Addresses,
     Complete(Call),
     Sample,
+    Burn,
     Plain,
 }
 
@@ -36,6 +38,7 @@
             "/v1/completions" => Self::Complete(Call::Completion),
             "/v1/chat/completions" => Self::Complete(Call::Chat),
             "/internal/sample" => Self::Sample,
+            "/internal/burn" => Self::Burn,
             _ => Self::Plain,
         }
     }
@@ -47,6 +50,7 @@
             Self::Addresses => "addresses",
             Self::Complete(call) => call.name(),
             Self::Sample => "sample",
+            Self::Burn => "burn",
             Self::Plain => "plain",
         }
     }
@@ -61,7 +65,7 @@
         let expected = match self {
             Self::Plain => return Ok(()),
             Self::Complete(_) | Self::Sample => Method::POST,
-            Self::Health | Self::Metrics | Self::Addresses => Method::GET,
+            Self::Health | Self::Metrics | Self::Addresses | Self::Burn => Method::GET,
         };
         if *method == expected {
             return Ok(());
@@ -110,6 +114,7 @@
         }
         Page::Complete(call) => complete(entry, call, head, body).await,
         Page::Sample => internal_sample(entry, head, body).await,
+        Page::Burn => internal_burn(entry, head),
         Page::Plain => plain_call(entry, head, body).await,
     }
 }
@@ -150,6 +155,25 @@
     sample::sample(entry, &body).await
 }
 
+/// Answers a control daemon with what was judged here.
+fn internal_burn(entry: &Entry, head: &Parts) -> Result<Response, Refusal> {
+    if !entry.settings.peer_secret.is(auth::bearer(&head.headers)?) {
+        return Err(auth::invalid());
+    }
+    let objective = entry.config.state().manifest.objective;
+    let report = entry.burn.report((objective.short, objective.long));
+    Ok(json(StatusCode::OK, &report))
+}
+
+/// Refuses while the configuration may be out of date, and judges the caller's request.
+fn check_fresh(entry: &Arc<Entry>, state: &ConfigState, head: &Parts) -> Result<(), Refusal> {
+    fresh::check(entry).inspect_err(|refusal| {
+        if let Ok(caller) = auth::caller(state, &head.headers) {
+            Served::start(entry, Some(&caller.tenant), "").refused(refusal);
+        }
+    })
+}
+
 async fn plain_call(
     entry: &Arc<Entry>,
     head: &Parts,
@@ -163,7 +187,7 @@
         let detail = format!("no route for {path}");
         return Err(Refusal::not_run(RefusalKind::NotFound, detail));
     };
-    fresh::check(entry)?;
+    check_fresh(entry, &state, head)?;
     let caller = if route.open {
         None
     } else {
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -14,6 +14,7 @@
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
 use super::auth::Caller;
+use super::burn::Served;
 use super::enter::{self, Arrival, Entered};
 use super::fair::Class;
 use super::fresh;
@@ -32,8 +33,22 @@
     deadline: Instant,
     body: &[u8],
 ) -> Result<Response, Refusal> {
-    let arrived = Instant::now();
     let prompt = api::parse(call, body)?;
+    let served = Served::start(entry, Some(&caller.tenant), &prompt.model);
+    let begun = begin(entry, call, caller, deadline, prompt, served.clone()).await;
+    begun.inspect_err(|refusal| served.refused(refusal))
+}
+
+/// Starts the generation and waits for its first chunk, or all of it.
+async fn begin(
+    entry: &Arc<Entry>,
+    call: Call,
+    caller: Caller,
+    deadline: Instant,
+    prompt: api::Prompt,
+    served: Served,
+) -> Result<Response, Refusal> {
+    let arrived = Instant::now();
     leak::refuse_key("prompt", prompt.text.as_bytes())?;
     let cost = enter::cost(prompt.text.len(), prompt.max_tokens as usize);
     let base_cost = enter::cost(prompt.text.len(), 0);
@@ -76,6 +91,7 @@
         generation,
         entered,
         base_cost,
+        served,
         _active: entry.drain.hold(),
         first: None,
         ended: false,
@@ -100,6 +116,7 @@
     entered: Entered,
     base_cost: f64,
     tally: Tally,
+    served: Served,
     _active: Active,
     first: Option<EngineChunk>,
     ended: bool,
@@ -111,6 +128,15 @@
         if let Some(first) = self.first.take() {
             return Ok(first);
         }
+        let next = self.advance().await;
+        match &next {
+            Ok(_) => self.served.first(),
+            Err(refusal) => self.served.refused(refusal),
+        }
+        next
+    }
+
+    async fn advance(&mut self) -> Result<EngineChunk, Refusal> {
         let next = self.generation.next();
         let key = &self.caller.digest;
         let chunk = fresh::while_valid(&self.entry, key, Run::Unknown, next).await??;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! | module | job |
 //! | --- | --- |
 //! | [`settings`], [`manifest`], [`checked`] | what operators write, and how it is checked |
+//! | [`burn`] | service-level burn, merged over entries |
 //! | [`edge`] | traits for the outside systems, and their HTTP clients |
 //! | [`lease`] | when a lease may be claimed and used |
 //! | [`drain`] | graceful shutdown |
@@ -17,6 +18,7 @@
 //! | [`wire`] | typed messages at the borders |
 //! | [`http`] | HTTP client, server and refusals |
 
+pub mod burn;
 pub mod checked;
 pub mod cmd;
 pub mod control;
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -18,6 +18,8 @@
     pub policy: Policy,
     /// Length of a usage window in seconds.
     pub window: u64,
+    /// What requests are judged by.
+    pub objective: Objective,
     /// Tenants by name.
     pub tenants: BTreeMap<Tenant, TenantSpec>,
     /// Pools by name.
@@ -61,6 +63,30 @@
     }
 }
 
+/// What requests are judged by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Objective {
+    /// Bad requests allowed in a million.
+    pub bad: u64,
+    /// Milliseconds to the first answer after which a request is slow.
+    pub first: u64,
+    /// Seconds of the short range.
+    pub short: u64,
+    /// Seconds of the long range.
+    pub long: u64,
+}
+
+impl Default for Objective {
+    fn default() -> Self {
+        Self {
+            bad: 1_000,
+            first: 2_000,
+            short: 300,
+            long: 3_600,
+        }
+    }
+}
+
 /// Choices between policies; each has its simplest form as a baseline.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Policy {
--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -4,7 +4,7 @@
 use std::ops::RangeInclusive;
 
 use super::{
-    ChoicePolicy, Limits, Manifest, ModelSpec, Policy, PoolKind, PoolSpec, QueuePolicy,
+    ChoicePolicy, Limits, Manifest, ModelSpec, Objective, Policy, PoolKind, PoolSpec, QueuePolicy,
     RoundPolicy, RouteSpec, TenantSpec,
 };
 use crate::checked::Table;
@@ -15,6 +15,8 @@
 const HEADER_BYTES: RangeInclusive<u64> = 256..=(60 << 10);
 const TIMEOUT_MS: RangeInclusive<u64> = 1..=3_600_000;
 const QUEUE: RangeInclusive<u64> = 0..=100_000;
+const PPM: RangeInclusive<u64> = 1..=1_000_000;
+const RANGE_S: RangeInclusive<u64> = 1..=86_400;
 const WINDOW_S: RangeInclusive<u64> = 1..=86_400;
 const WEIGHT: RangeInclusive<u64> = 1..=1_000;
 const PERCENT: RangeInclusive<u64> = 0..=100;
@@ -41,6 +43,7 @@
         limits: limits(root),
         policy: policy(root),
         window: usage.as_ref().map_or(DEFAULT_WINDOW_S, window),
+        objective: objective(root),
         tenants: tenants(root),
         pools,
         models,
@@ -69,6 +72,24 @@
     }
 }
 
+fn objective(root: &Table<'_>) -> Objective {
+    let base = Objective::default();
+    let Some(table) = root.table_opt("objective") else {
+        return base;
+    };
+    let objective = Objective {
+        bad: table.number_or("bad_ppm", base.bad, &PPM),
+        first: table.number_or("first_ms", base.first, &TIMEOUT_MS),
+        short: table.number_or("short_s", base.short, &RANGE_S),
+        long: table.number_or("long_s", base.long, &RANGE_S),
+    };
+    if objective.long < objective.short {
+        let short = objective.short;
+        table.report("long_s", &format!("expected at least short_s = {short}"));
+    }
+    objective
+}
+
 fn policy(root: &Table<'_>) -> Policy {
     let Some(table) = root.table_opt("policy") else {
         return Policy::default();
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -40,6 +40,59 @@
     pub next: u64,
     pub seq: u64,
 }
+#[doc = "Judged requests of a time range, with the histogram of their first answers in milliseconds."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BurnCounts {
+    pub failed: u64,
+    #[doc = "Base64 of an HdrHistogram V2; empty without answers."]
+    pub first: ::std::string::String,
+    pub refused: u64,
+    pub slow: u64,
+    pub total: u64,
+}
+#[doc = "One tenant's requests of one route or model, over the short and the long range."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BurnLine {
+    pub long: BurnCounts,
+    pub route: ::std::string::String,
+    pub short: BurnCounts,
+    pub tenant: ::std::string::String,
+}
+#[doc = "Burn over one range: how fast the error budget goes, 1 being as fast as allowed."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BurnRange {
+    pub failed: u64,
+    pub p50_ms: u64,
+    pub p99_ms: u64,
+    pub rate: f64,
+    pub refused: u64,
+    pub slow: u64,
+    pub total: u64,
+}
+#[doc = "One entry's judged requests."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BurnReport {
+    pub lines: ::std::vec::Vec<BurnLine>,
+}
+#[doc = "One tenant's burn of one route or model, over all entries that answered."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BurnRow {
+    pub long: BurnRange,
+    pub route: ::std::string::String,
+    pub short: BurnRange,
+    pub tenant: ::std::string::String,
+}
+#[doc = "Answer of the operators' burn call; `worst` is the tenant that burns fastest over both ranges."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct BurnStatus {
+    #[doc = "Entries that answered."]
+    pub answered: u32,
+    #[doc = "Entries that are alive."]
+    pub known: u32,
+    pub rows: ::std::vec::Vec<BurnRow>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub worst: ::std::option::Option<::std::string::String>,
+}
 #[doc = "What a configuration record says."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -16,6 +16,7 @@
     ServerLoad, ServerState, ServerStatus, SessionOpen, SessionOpened, Slot, Status, TenantDemand,
     Verdict,
 };
+pub use generated::{BurnCounts, BurnLine, BurnRange, BurnReport, BurnRow, BurnStatus};
 pub use generated::{
     UsageBody, UsageCount, UsageIncarnation, UsageLine, UsageOpen, UsageRecord, UsageReport,
     UsageSnapshot, UsageStatus, UsageUncertain, UsageUnit, UsageWindow, UsageWindowState,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 #![cfg(feature = "standin")]
 
 mod bad_input;
+mod burn;
 mod check;
 mod config_log;
 mod drain;
