--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -4,9 +4,9 @@
 use std::ops::RangeInclusive;
 
 use super::{
-    ChoicePolicy, EjectionPolicy, Limits, Manifest, ModelSpec, PoisonPolicy, Policy, PoolKind,
-    PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RoundPolicy, RouteSpec, TenantSpec,
-    WeightLimits,
+    ChoicePolicy, EjectionPolicy, Limits, Manifest, ModelSpec, Objective, PoisonPolicy, Policy,
+    PoolKind, PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RoundPolicy, RouteSpec,
+    TenantSpec, WeightLimits,
 };
 use crate::checked::Table;
 use crate::names::{Model, Pool, Tenant};
@@ -16,6 +16,8 @@
 const HEADER_BYTES: RangeInclusive<u64> = 256..=(60 << 10);
 const TIMEOUT_MS: RangeInclusive<u64> = 1..=3_600_000;
 const QUEUE: RangeInclusive<u64> = 0..=100_000;
+const PPM: RangeInclusive<u64> = 1..=1_000_000;
+const RANGE_S: RangeInclusive<u64> = 1..=86_400;
 const WINDOW_S: RangeInclusive<u64> = 1..=86_400;
 const WEIGHT: RangeInclusive<u64> = 1..=1_000;
 const PERCENT: RangeInclusive<u64> = 0..=100;
@@ -44,6 +46,7 @@
         policy: policy(root),
         weights: weights(root),
         window: usage.as_ref().map_or(DEFAULT_WINDOW_S, window),
+        objective: objective(root),
         tenants: tenants(root),
         pools,
         models,
@@ -72,6 +75,24 @@
     }
 }
 
+fn objective(root: &Table<'_>) -> Objective {
+    let base = Objective::default();
+    let Some(table) = root.table_opt("objective") else {
+        return base;
+    };
+    let objective = Objective {
+        bad: table.number_or("bad_ppm", base.bad, &PPM),
+        first: table.number_or("first_ms", base.first, &TIMEOUT_MS),
+        short: table.number_or("short_s", base.short, &RANGE_S),
+        long: table.number_or("long_s", base.long, &RANGE_S),
+    };
+    if objective.long < objective.short {
+        let short = objective.short;
+        table.report("long_s", &format!("expected at least short_s = {short}"));
+    }
+    objective
+}
+
 fn policy(root: &Table<'_>) -> Policy {
     let Some(table) = root.table_opt("policy") else {
         return Policy::default();
