--- a/src/control/rounds/mod.rs
+++ b/src/control/rounds/mod.rs
@@ -22,7 +22,7 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 
-use crate::edge::{HttpInstances, HttpServers, Servers};
+use crate::edge::{HttpServers, Servers};
 use crate::http::Client;
 use crate::log::ConfigLog;
 use crate::names::Pool;
@@ -74,13 +74,12 @@
         config: Arc<ConfigLog>,
         peers: Arc<Peers>,
     ) -> Self {
-        let instances = HttpInstances::new(client, &settings.platform.instances);
         let own = settings.entry.http.to_string();
         let secret = settings.peer_secret.clone();
         Self {
             config,
+            entries: Entries::new(client.clone(), Arc::clone(&peers), secret, own),
             peers,
-            entries: Entries::new(client.clone(), Arc::new(instances), secret, own),
             servers: HttpServers::new(client, &settings.platform.servers),
             sessions: Mutex::default(),
             running: Arc::default(),
@@ -89,10 +88,8 @@
         }
     }
 
-    /// Follows the instances, the backend servers and the sessions' ends for ever.
+    /// Follows the backend servers and the sessions' ends for ever.
     pub async fn follow(self: Arc<Self>) {
-        let rounds = Arc::clone(&self);
-        tokio::spawn(async move { rounds.entries.follow().await });
         loop {
             if let Ok(list) = self.servers.list().await {
                 self.pools.store(Arc::new(count_running(&list.servers)));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod burn;
 mod choose;
 mod drain;
+mod eject;
 mod engine;
 mod enter;
 mod fair;
@@ -22,11 +23,19 @@
 mod once;
 mod others;
 mod path;
+mod place;
 mod plain;
+mod poison;
+pub mod prefix;
+mod report;
+mod retry;
 mod sample;
 mod serve;
 mod servers;
+mod share;
 mod stream;
+mod subset;
+mod suspect;
 mod usage;
 
 use std::sync::Arc;
@@ -72,6 +81,8 @@
     usage_metrics: usage::UsageMetrics,
     admission: admit::Admission,
     limits: limit::Limits,
+    retries: retry::RetryBudget,
+    suspects: Arc<suspect::Suspects>,
     others: ArcSwap<others::Others>,
     client: Client,
     metrics: Metrics,
@@ -118,6 +129,8 @@
             usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             admission: admit::Admission::default(),
             limits: limit::Limits::default(),
+            retries: retry::RetryBudget::default(),
+            suspects: Arc::default(),
             others: ArcSwap::default(),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -4,8 +4,9 @@
 use std::ops::RangeInclusive;
 
 use super::{
-    ChoicePolicy, Limits, Manifest, ModelSpec, Objective, Policy, PoolKind, PoolSpec, QueuePolicy,
-    RoundPolicy, RouteSpec, TenantSpec,
+    ChoicePolicy, EjectionPolicy, Limits, Manifest, ModelSpec, Objective, PoisonPolicy, Policy,
+    PoolKind, PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RoundPolicy, RouteSpec,
+    TenantSpec, WeightLimits,
 };
 use crate::checked::Table;
 use crate::names::{Model, Pool, Tenant};
@@ -21,6 +22,7 @@
 const WEIGHT: RangeInclusive<u64> = 1..=1_000;
 const PERCENT: RangeInclusive<u64> = 0..=100;
 const SERVERS: RangeInclusive<u64> = 0..=10_000;
+const LOADS: RangeInclusive<u64> = 1..=10_000;
 const SLOTS: RangeInclusive<u64> = 1..=10_000;
 
 /// Milliseconds that a call of a route may take by default.
@@ -42,6 +44,7 @@
         base: root.number("base", &ANY),
         limits: limits(root),
         policy: policy(root),
+        weights: weights(root),
         window: usage.as_ref().map_or(DEFAULT_WINDOW_S, window),
         objective: objective(root),
         tenants: tenants(root),
@@ -104,10 +107,42 @@
         ("stragglers", RoundPolicy::Stragglers),
         ("ordered", RoundPolicy::Ordered),
     ];
+    let refusals = [
+        ("early", RefusalPolicy::Early),
+        ("late", RefusalPolicy::Late),
+    ];
+    let retries = [
+        ("budget", RetryPolicy::Budget),
+        ("unlimited", RetryPolicy::Unlimited),
+    ];
+    let ejections = [
+        ("slow", EjectionPolicy::Slow),
+        ("never", EjectionPolicy::Never),
+    ];
+    let poisons = [
+        ("contain", PoisonPolicy::Contain),
+        ("ignore", PoisonPolicy::Ignore),
+    ];
     Policy {
         rounds: table.choice_or("rounds", RoundPolicy::default(), &rounds),
         choice: table.choice_or("choice", ChoicePolicy::default(), &choices),
         queue: table.choice_or("queue", QueuePolicy::default(), &queues),
+        refusal: table.choice_or("refusal", RefusalPolicy::default(), &refusals),
+        retries: table.choice_or("retries", RetryPolicy::default(), &retries),
+        ejection: table.choice_or("ejection", EjectionPolicy::default(), &ejections),
+        poison: table.choice_or("poison", PoisonPolicy::default(), &poisons),
+        subset: size(table.number_or("subset", 0, &SERVERS)),
+    }
+}
+
+fn weights(root: &Table<'_>) -> WeightLimits {
+    let base = WeightLimits::default();
+    let Some(table) = root.table_opt("weights") else {
+        return base;
+    };
+    WeightLimits {
+        loads: size(table.number_or("loads", base.loads as u64, &LOADS)),
+        keep: table.number_or("keep_percent", base.keep, &PERCENT),
     }
 }
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -16,6 +16,7 @@
 
 use super::engine::{Engine, EngineConfig};
 use super::faults::{Reclaim, SetCapacity};
+use super::loading::Loaded;
 use super::serve::Served;
 use super::service::{self, ServiceRecord};
 use super::weights::WeightStore;
@@ -260,6 +261,17 @@
         self.orders.lock().push(order);
     }
 
+    /// What each engine now running holds, by server.
+    #[must_use]
+    pub fn loaded(&self) -> BTreeMap<String, Loaded> {
+        let members = self.members.lock();
+        let engine = |(id, member): (&String, &Member)| {
+            let engine = member.engine.as_ref()?;
+            Some((id.clone(), engine.loaded().clone()))
+        };
+        members.iter().filter_map(engine).collect()
+    }
+
     /// Carries out an order; a repeated order has the effect of the first.
     pub async fn order(self: &Arc<Self>, order: Order) -> OrderResult {
         let _turn = self.turn.lock().await;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -17,4 +17,5 @@
 mod stop;
 mod trainer;
 mod usage;
+mod weights;
 mod workdir;
