--- a/src/log/usage/tests.rs
+++ b/src/log/usage/tests.rs
@@ -294,3 +294,40 @@
         prop_assert_eq!(fold(&records).1, fold(&shuffled).1);
     }
 }
+
+#[test]
+#[ignore = "a measurement; prints its figures"]
+fn measure_fold() {
+    const ENTRIES: u64 = 10;
+    const TENANTS: u64 = 8;
+    const RECORDS: u64 = 100_000;
+    // Each entry appends once a second; a window of 60 s is closed after 600 records.
+    let mut records = Vec::new();
+    for n in 0..RECORDS {
+        let window = n / (ENTRIES * LENGTH) * LENGTH;
+        if n % (ENTRIES * LENGTH) == 30 && window > 0 {
+            records.push(close(window - LENGTH));
+            let window = window - LENGTH;
+            records.push(record(UsageBody::Reported { window }));
+        }
+        let tenants: Vec<String> = (0..TENANTS).map(|t| format!("tenant-{t}")).collect();
+        let counts: Vec<_> = tenants.iter().map(|t| (window, &**t, n * 100)).collect();
+        let name = format!("{:024x}", n % ENTRIES);
+        records.push(counters(&name, n, window, &counts));
+    }
+    let bytes: usize = records.iter().map(String::len).sum();
+    let began = std::time::Instant::now();
+    let (fold, reports) = fold(&records);
+    let took = began.elapsed();
+    let state = serde_json::to_string(&fold.snapshot()).expect("JSON").len();
+    let counts: usize = fold.known.values().map(|known| known.counts.len()).sum();
+    println!(
+        "records {} bytes {bytes} reports {} took {took:?}",
+        records.len(),
+        reports.len()
+    );
+    println!(
+        "state {state} bytes as a snapshot, {counts} counts, {} windows open",
+        fold.open.len()
+    );
+}
--- a/tests/suite/usage.rs
+++ b/tests/suite/usage.rs
@@ -368,3 +368,66 @@
         "{lost} of {uncertain:?}"
     );
 }
+
+/// The value of a metric of entry 0, summed over its labels.
+fn metric(dir: &Workdir, name: &str) -> f64 {
+    let answer = dir.get(&format!("{}/metrics", dir.entry_url(0)));
+    let body = answer.expect("an answer").into_body();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    let value = |line: &str| {
+        line.rsplit(' ')
+            .next()
+            .and_then(|value| value.parse::<f64>().ok())
+    };
+    lines.filter_map(value).sum()
+}
+
+#[test]
+#[ignore = "a measurement; prints its figures"]
+fn usage_measure_appends() {
+    const SPAN: Duration = Duration::from_secs(20);
+    let dir = Workdir::new("usage");
+    let _platform = dir.platform(3, 1, &SERVERS);
+    let _control = control(&dir, 0, "");
+    let _entries: Vec<Process> = (0..3).map(|n| entry(&dir, n, "")).collect();
+    let tenants: Vec<String> = (0..8).map(|n| format!("tenant-{n}")).collect();
+    let mut manifest = format!("{MANIFEST}\n[usage]\nwindow_s = 60\n");
+    for tenant in &tenants {
+        manifest.push_str(&format!("[[tenants]]\nname = \"{tenant}\"\n"));
+    }
+    dir.publish(&manifest);
+    let keys: Vec<String> = tenants.iter().map(|tenant| dir.grant(tenant)).collect();
+    let complete = |key: &str| {
+        let url = format!("{}/v1/completions", dir.entry_url(0));
+        let body = r#"{"model":"stroke-1","prompt":"a b","max_tokens":10}"#;
+        let answer = dir.call(Method::POST, &url, Some(key), &[], body);
+        answer.is_some_and(|answer| answer.status() == StatusCode::OK)
+    };
+    for key in &keys {
+        wait_until("the key works", || complete(key));
+    }
+    for (name, is_loaded) in [("at rest", false), ("under load", true)] {
+        std::thread::sleep(Duration::from_secs(3));
+        let names = ["basillead_usage_records", "basillead_usage_record_bytes"];
+        let before = names.map(|name| metric(&dir, name));
+        let until = std::time::Instant::now() + SPAN;
+        let mut requests = 0_u32;
+        while std::time::Instant::now() < until {
+            if is_loaded {
+                for key in &keys {
+                    requests += u32::from(complete(key));
+                }
+            } else {
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        }
+        let after = names.map(|name| metric(&dir, name));
+        let rate = |n: usize| (after[n] - before[n]) / SPAN.as_secs_f64();
+        println!(
+            "{name}: {requests} requests, {:.2} records/s, {:.0} bytes/s",
+            rate(0),
+            rate(1)
+        );
+    }
+}
