--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -31,6 +31,9 @@
 /// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
 const FINISH: Duration = Duration::from_secs(35);
 
+/// Time between two checks of what peers should be told.
+const TELL: Duration = Duration::from_secs(1);
+
 /// All state of one control daemon.
 #[derive(Debug)]
 pub struct Control {
@@ -113,12 +116,13 @@
     /// The address cannot be bound.
     pub async fn run(self) -> std::io::Result<()> {
         let control = Arc::new(self);
-        let config = Arc::clone(&control.config);
-        tokio::spawn(async move { config.follow().await });
+        let state = Arc::clone(&control);
+        tokio::spawn(async move { state.config.follow(|| state.peers.reads_log()).await });
         control.peers.run().await?;
         tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
+        tokio::spawn(tell_leases(Arc::clone(&control)));
         tokio::spawn(Arc::clone(&control.usage).run());
         let orders = Arc::clone(&control.orders);
         let log = Arc::clone(&orders.log);
@@ -135,6 +139,7 @@
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
+        tokio::spawn(Arc::clone(&rounds).leave(control.drain.watch()));
         let weights = Weights::new(
             Arc::clone(&control.config),
             Arc::clone(&control.peers),
@@ -171,3 +176,16 @@
         spdlog::info!("leaving", kv: { left });
     }
 }
+
+/// Tells peers which leases this process holds, for the operators' status.
+async fn tell_leases(control: Arc<Control>) {
+    let mut told = Vec::new();
+    loop {
+        let held = control.leases.all();
+        if held != told {
+            told.clone_from(&held);
+            control.peers.update(|own| own.leases = held);
+        }
+        tokio::time::sleep(TELL).await;
+    }
+}
--- a/src/control/orders/send.rs
+++ b/src/control/orders/send.rs
@@ -7,7 +7,7 @@
 use super::{LACKING, Orders, Reign};
 use crate::control::plan::Action;
 use crate::edge::{EdgeResult, Stream};
-use crate::failpoint::reach;
+use crate::failpoint;
 use crate::log::{Backoff, OrderFold};
 use crate::wire::{
     Order, OrderAction, OrderBody, OrderOutcome, OrderRecord, OrderResult, Price, ServerList,
@@ -121,7 +121,7 @@
         mut order: Order,
     ) -> EdgeResult<bool> {
         order.fence = reign.claim;
-        reach("before-intent").await;
+        failpoint::reach("order-before-intent").await;
         let intent = OrderBody::Intent {
             claim: reign.claim,
             order: order.clone(),
@@ -129,13 +129,13 @@
         if !self.write(fold, intent).await? {
             return Ok(false);
         }
-        reach("after-intent").await;
+        failpoint::reach("order-after-intent").await;
         let Some(held) = self.held(reign.claim) else {
             return Ok(false);
         };
-        reach("before-send").await;
+        failpoint::reach("order-before-send").await;
         let answer = self.servers.order(order.clone(), held).await;
-        reach("after-send").await;
+        failpoint::reach("order-after-send").await;
         let result = answer?;
         reign.note(&order, &result);
         self.conclude(fold, result).await?;
@@ -143,7 +143,7 @@
     }
 
     async fn conclude(&self, fold: &mut OrderFold, result: OrderResult) -> EdgeResult<()> {
-        reach("before-outcome").await;
+        failpoint::reach("order-before-outcome").await;
         let labels = [KeyValue::new("outcome", result.outcome.to_string())];
         self.counts.orders.add(1, &labels);
         let body = OrderBody::Outcome {
--- a/src/edge/fenced.rs
+++ b/src/edge/fenced.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, timeout_at};
 
-use crate::failpoint::reach;
+use crate::failpoint;
 use crate::lease::{Held, MARGIN};
 
 /// Time after which the kernel drops bytes that the other side has not acknowledged.
@@ -55,14 +55,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct FencedClient {
     deadline: Instant,
+    point: &'static str,
 }
 
 impl FencedClient {
-    /// A client that sends under a lease.
+    /// A client that sends under a lease; `point` names the failpoint before the first byte.
     #[must_use]
-    pub fn new(held: Held) -> Self {
+    pub fn new(held: Held, point: &'static str) -> Self {
         Self {
             deadline: held.deadline,
+            point,
         }
     }
 
@@ -73,7 +75,7 @@
     /// [`FencedError::Connect`] say that nothing was sent.
     pub async fn send(&self, request: Request<Bytes>) -> Result<Response<Bytes>, FencedError> {
         let stream = self.connect(&request).await?;
-        reach("connected").await;
+        failpoint::reach(self.point).await;
         let sent = timeout(ANSWER_TIMEOUT, exchange(stream, request));
         sent.await.unwrap_or(Err(FencedError::Timeout))
     }
--- a/tests/suite/usage.rs
+++ b/tests/suite/usage.rs
@@ -394,7 +394,8 @@
     let tenants: Vec<String> = (0..8).map(|n| format!("tenant-{n}")).collect();
     let mut manifest = format!("{MANIFEST}\n[usage]\nwindow_s = 60\n");
     for tenant in &tenants {
-        manifest.push_str(&format!("[[tenants]]\nname = \"{tenant}\"\n"));
+        let table = format!("[[tenants]]\nname = \"{tenant}\"\n");
+        manifest.push_str(&table);
     }
     dir.publish(&manifest);
     let keys: Vec<String> = tenants.iter().map(|tenant| dir.grant(tenant)).collect();
