--- a/src/control/weights/mod.rs
+++ b/src/control/weights/mod.rs
@@ -178,7 +178,9 @@
     let Some(request) = request(order, held.claim) else {
         return Ordered::Failed;
     };
-    let sent = FencedClient::new(held).send(request).await;
+    let sent = FencedClient::new(held, "weights-connected")
+        .send(request)
+        .await;
     let (ordered, outcome) = match &sent {
         Ok(answer) if answer.status().is_success() => (Ordered::Taken, "taken".to_owned()),
         Ok(answer) if answer.status() == StatusCode::CONFLICT => {
