--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,7 +7,11 @@
 mod key;
 mod publish;
 mod remote;
+mod replay;
+mod round;
+mod schema;
 mod status;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -38,8 +42,16 @@
     Publish(publish::Args),
     #[options(help = "grant, withdraw or list keys")]
     Key(key::Args),
+    #[options(help = "create, show or cancel rollout rounds")]
+    Round(round::Args),
+    #[options(help = "print the JSON Schema of manifests or settings")]
+    Schema(schema::Args),
     #[options(help = "show daemons, servers, keys and rounds")]
     Status(status::Args),
+    #[options(help = "show usage windows")]
+    Usage(usage::Args),
+    #[options(help = "recompute usage reports from the log alone")]
+    Replay(replay::Args),
 }
 
 /// Parses the command line and runs the subcommand that it names.
@@ -55,7 +67,11 @@
         Command::Check(args) => check::run(&args),
         Command::Publish(args) => publish::run(&args),
         Command::Key(args) => key::run(&args),
+        Command::Round(args) => round::run(&args),
+        Command::Schema(args) => schema::run(&args),
         Command::Status(args) => status::run(&args),
+        Command::Usage(args) => usage::run(&args),
+        Command::Replay(args) => replay::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,16 +1,29 @@
 //! The control daemon: the operators' and the platform's side.
 
+pub mod leases;
 mod operator;
+mod rounds;
 mod serve;
+pub mod usage;
+mod withdraw;
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-use crate::edge::{HttpLog, HttpServers};
+use crate::drain::Drain;
+use crate::edge::{HttpInstances, HttpLog, HttpServers, HttpUsage};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
+
+use rounds::Rounds;
+
+/// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
+const FINISH: Duration = Duration::from_secs(35);
 
 /// All state of one control daemon.
 #[derive(Debug)]
@@ -18,8 +31,13 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
+    drain: Arc<Drain>,
     servers: HttpServers,
+    leases: Arc<leases::Leases>,
+    usage: Arc<usage::UsageWindows>,
     metrics: Metrics,
+    client: Client,
 }
 
 impl Control {
@@ -30,11 +48,43 @@
     pub fn new(settings: Settings) -> std::io::Result<Self> {
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
+        let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log.clone()));
+        let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let leases = leases::Leases::new(
+            log.clone(),
+            instances.clone(),
+            &settings.instance,
+            &incarnation,
+        );
+        let leases = Arc::new(leases);
+        let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
+        let usage = usage::UsageWindows::new(
+            log,
+            sink,
+            Arc::clone(&leases),
+            Arc::clone(&config),
+            &metrics.meter(),
+        );
+        let peers = Peers::new(
+            &settings,
+            Daemon::Control,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
-            incarnation: Incarnation::random(),
-            config: Arc::new(ConfigLog::new(log)),
+            incarnation,
+            config,
+            peers,
+            drain: Arc::default(),
+            leases,
+            usage: Arc::new(usage),
             servers: HttpServers::new(&client, &settings.platform.servers),
-            metrics: Metrics::new().map_err(std::io::Error::other)?,
+            client,
+            metrics,
             settings,
         })
     }
@@ -47,18 +97,45 @@
         let control = Arc::new(self);
         let config = Arc::clone(&control.config);
         tokio::spawn(async move { config.follow().await });
+        control.peers.run().await?;
+        tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
+        let leases = Arc::clone(&control.leases);
+        tokio::spawn(async move { leases.run().await });
+        tokio::spawn(Arc::clone(&control.usage).run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
+        let rounds = Rounds::new(
+            &control.settings,
+            &control.client,
+            Arc::clone(&control.config),
+            Arc::clone(&control.peers),
+        );
+        let rounds = Arc::new(rounds);
+        tokio::spawn(Arc::clone(&rounds).follow());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
-            serve::answer(Arc::clone(&state), request)
+            serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
         })?;
         spdlog::info!("control started", kv: {
             address = address.to_string(),
             incarnation = control.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
+        tokio::select! {
+            () = control.drain() => {}
+            again = crate::util::stop_signal() => again?,
+        }
         drop(server);
         Ok(())
     }
+
+    /// Leaves: hands leases on, refuses new calls, and finishes those that run.
+    async fn drain(&self) {
+        self.drain.leave();
+        self.peers.update(|own| own.leaving = true);
+        self.drain.close();
+        self.leases.release().await;
+        let left = self.drain.finish(Instant::now() + FINISH).await;
+        spdlog::info!("leaving", kv: { left });
+    }
 }
--- a/src/entry/enter.rs
+++ b/src/entry/enter.rs
@@ -8,12 +8,12 @@
 use crate::http::{Refusal, RefusalKind};
 use crate::names::{Pool, Tenant};
 
-use super::Entry;
 use super::admit::{Bounds, Permit};
 use super::fair::{Ask, Class};
+use super::{Entry, share};
 
 /// Header in which a caller states how long it waits.
-const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+pub(super) const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 /// Bytes of a prompt that take an engine as long as one token of an answer.
 const PROMPT_BYTES_A_TOKEN: f64 = 200.0;
 /// Time between two looks at what bounds the queues.
@@ -127,6 +127,10 @@
         cost: arrival.cost,
         deadline: arrival.deadline,
     };
+    if entry.admission.is_closed(arrival.pool) {
+        // The manifest or the first server may have come since the last look.
+        refresh_pool(entry, arrival.pool, Instant::now());
+    }
     let admitted = entry.admission.admit(arrival.pool, ask).await;
     if admitted.is_err() {
         entry.limits.give_back(tenant, counted);
@@ -160,31 +164,40 @@
 /// Keeps the bounds of all queues up to date for ever.
 pub(super) async fn follow_bounds(entry: Arc<Entry>) {
     loop {
-        refresh(&entry, Instant::now());
+        let now = Instant::now();
+        share::hear(&entry, now);
+        refresh(&entry, now);
+        share::tell(&entry, now);
         tokio::time::sleep(REFRESH).await;
     }
 }
 
-/// Sets the bounds of all queues by the servers that run and what others run on them.
+/// Sets the bounds of all queues.
 fn refresh(entry: &Entry, now: Instant) {
-    let state = entry.config.state();
-    let others = entry.others.load();
-    for (pool, spec) in &state.manifest.pools {
-        let servers = entry.servers.running(pool);
-        let capacity = float(spec.slots) * float(servers.len() as u64);
-        let elsewhere = others.inflight_on(&servers);
-        let own = f64::from(entry.admission.running(pool));
-        let bounds = Bounds {
-            running: own_share(capacity, own, elsewhere, others.entries()),
-            waiting: state.manifest.limits.queue,
-            queue: state.manifest.policy.queue,
-            refusal: state.manifest.policy.refusal,
-        };
-        entry.admission.refresh(pool, bounds, now);
+    for pool in entry.config.state().manifest.pools.keys() {
+        refresh_pool(entry, pool, now);
     }
     entry.counts.waiting(entry.admission.waiting());
 }
 
+/// Sets the bounds of a queue by the servers that run and what others run on them.
+fn refresh_pool(entry: &Entry, pool: &Pool, now: Instant) {
+    let state = entry.config.state();
+    let others = entry.others.load();
+    let servers = entry.servers.running(pool);
+    let slots = state.manifest.pools.get(pool).map_or(0, |spec| spec.slots);
+    let capacity = float(slots) * float(servers.len() as u64);
+    let elsewhere = others.inflight_on(&servers);
+    let own = f64::from(entry.admission.running(pool));
+    let bounds = Bounds {
+        running: own_share(capacity, own, elsewhere, others.entries()),
+        waiting: state.manifest.limits.queue,
+        queue: state.manifest.policy.queue,
+        refusal: state.manifest.policy.refusal,
+    };
+    entry.admission.refresh(pool, bounds, now);
+}
+
 /// Requests that this entry may run of a `capacity` shared by `entries`.
 ///
 /// Each entry has an equal part; it grows beyond it into unused places a part at a time,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,19 +8,23 @@
 mod api;
 mod auth;
 mod choose;
+mod drain;
 mod eject;
 mod engine;
 mod enter;
 mod fair;
+mod fresh;
 mod generate;
 mod leak;
 mod limit;
 mod metrics;
+mod once;
 mod others;
 mod path;
 mod place;
 mod plain;
 mod poison;
+mod poll;
 pub mod prefix;
 mod report;
 mod retry;
@@ -34,20 +38,27 @@
 mod usage;
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 
-use crate::edge::{HttpLog, HttpServers};
+use crate::drain::Drain;
+use crate::edge::{HttpInstances, HttpLog, HttpServers};
 use crate::http::{Client, Server};
 use crate::log::ConfigLog;
 use crate::names::Incarnation;
+use crate::peer::Peers;
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
+use crate::wire::Daemon;
 
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
-pub use usage::UsageCounters;
+pub use usage::{UsageBatch, UsageCopies, UsageCounters};
+
+/// Time in which the last counters must reach the log at shutdown.
+const FLUSH: Duration = Duration::from_secs(5);
 
 /// All state of one entry daemon.
 #[derive(Debug)]
@@ -55,8 +66,15 @@
     settings: Settings,
     incarnation: Incarnation,
     config: Arc<ConfigLog>,
+    peers: Arc<Peers>,
+    drain: Arc<Drain>,
+    once: once::OnceTable,
+    hold: drain::HoldBound,
     servers: ServerTable,
+    log: Arc<HttpLog>,
     usage: UsageCounters,
+    appends: tokio::sync::Mutex<usage::AppendState>,
+    usage_metrics: usage::UsageMetrics,
     admission: admit::Admission,
     limits: limit::Limits,
     retries: retry::RetryBudget,
@@ -77,11 +95,29 @@
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
         let servers = HttpServers::new(&client, &settings.platform.servers);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let incarnation = Incarnation::random();
+        let config = Arc::new(ConfigLog::new(log.clone()));
+        let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
+        let peers = Peers::new(
+            &settings,
+            Daemon::Entry,
+            &incarnation,
+            Arc::clone(&config),
+            instances,
+            &metrics.meter(),
+        );
         Ok(Self {
-            incarnation: Incarnation::random(),
-            config: Arc::new(ConfigLog::new(log)),
+            incarnation,
+            config,
+            peers,
+            drain: Arc::default(),
+            once: once::OnceTable::default(),
+            hold: drain::HoldBound::default(),
+            log,
             servers: ServerTable::new(Arc::new(servers)),
             usage: UsageCounters::default(),
+            appends: tokio::sync::Mutex::default(),
+            usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             admission: admit::Admission::default(),
             limits: limit::Limits::default(),
             retries: retry::RetryBudget::default(),
@@ -102,7 +138,12 @@
         let entry = Arc::new(self);
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
+        once::serve_asks(&entry);
+        entry.peers.run().await?;
+        tokio::spawn(drain::follow_hold(Arc::clone(&entry)));
+        tokio::spawn(usage::follow(Arc::clone(&entry)));
         tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
+        tokio::spawn(poll::follow(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
@@ -114,7 +155,12 @@
             incarnation = entry.incarnation.to_string(),
         });
         crate::util::stop_signal().await?;
+        tokio::select! {
+            () = drain::drain(&entry) => {}
+            again = crate::util::stop_signal() => again?,
+        }
         drop(server);
+        usage::flush(&entry, Instant::now() + FLUSH).await;
         Ok(())
     }
 }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -6,17 +6,20 @@
 use bytes::Bytes;
 use http::StatusCode;
 
+use crate::drain::Active;
 use crate::http::{Refusal, RefusalKind, Response, streamed, whole};
 use crate::util::{random_id, unix_ms};
-use crate::wire::{EngineChunk, UsageUnit};
+use crate::wire::{EngineChunk, Run};
 
 use super::Entry;
 use super::api::{self, Call, Shape, TokenUsage};
-use super::auth::{self, Caller};
+use super::auth::Caller;
 use super::enter::{self, Arrival, Entered};
 use super::fair::Class;
+use super::fresh;
 use super::generate::{Generation, Job};
 use super::leak;
+use super::usage::Tally;
 
 /// Engine priority of live requests.
 const PRIORITY_LIVE: u32 = 0;
@@ -53,6 +56,7 @@
         resume: Vec::new(),
         avoid: Vec::new(),
     };
+    let most = job.max_tokens;
     let generation = Generation::new(Arc::clone(entry), job)?;
     let arrival = Arrival {
         pool: generation.pool(),
@@ -62,15 +66,17 @@
         limited: true,
         deadline,
     };
-    let entered = enter::enter(entry, arrival).await?;
+    let entering = enter::enter(entry, arrival);
+    let entered = fresh::while_valid(entry, &caller.digest, Run::NotRun, entering).await??;
     let mut relay = Relay {
-        tally: Tally::new(entry, &caller),
+        tally: Tally::new(entry, &caller.tenant, most),
         entry: Arc::clone(entry),
         caller,
         shape,
         generation,
         entered,
         base_cost,
+        _active: entry.drain.hold(),
         first: None,
         ended: false,
     };
@@ -85,43 +91,6 @@
     }
 }
 
-/// Tokens of one request, added to the usage counters when it is dropped.
-#[derive(Debug)]
-struct Tally {
-    entry: Arc<Entry>,
-    caller: Caller,
-    tokens_in: u64,
-    tokens_out: u64,
-}
-
-impl Tally {
-    fn new(entry: &Arc<Entry>, caller: &Caller) -> Self {
-        Self {
-            entry: Arc::clone(entry),
-            caller: caller.clone(),
-            tokens_in: 0,
-            tokens_out: 0,
-        }
-    }
-}
-
-impl Drop for Tally {
-    fn drop(&mut self) {
-        if self.tokens_out == 0 {
-            return;
-        }
-        let window = self.entry.config.state().manifest.window;
-        let tenant = &self.caller.tenant;
-        let amounts = [
-            (UsageUnit::Requests, 1),
-            (UsageUnit::TokensIn, self.tokens_in),
-            (UsageUnit::TokensOut, self.tokens_out),
-        ];
-        self.entry.usage.add(unix_ms(), window, tenant, &amounts);
-        self.entry.counts.tokens(tenant, self.tokens_out);
-    }
-}
-
 /// Relays one generation to one caller.
 struct Relay {
     entry: Arc<Entry>,
@@ -131,6 +100,7 @@
     entered: Entered,
     base_cost: f64,
     tally: Tally,
+    _active: Active,
     first: Option<EngineChunk>,
     ended: bool,
 }
@@ -141,19 +111,11 @@
         if let Some(first) = self.first.take() {
             return Ok(first);
         }
-        let chunk = self.generation.next().await?;
-        if self
-            .entry
-            .config
-            .state()
-            .tenant(&self.caller.digest)
-            .is_none()
-        {
-            let detail = auth::invalid().detail;
-            return Err(Refusal::unknown(RefusalKind::KeyInvalid, detail));
-        }
-        self.tally.tokens_in = u64::from(self.generation.prompt_tokens());
-        self.tally.tokens_out += chunk.tokens.len() as u64;
+        let next = self.generation.next();
+        let key = &self.caller.digest;
+        let chunk = fresh::while_valid(&self.entry, key, Run::Unknown, next).await??;
+        let prompt = self.generation.prompt_tokens();
+        self.tally.count(prompt, chunk.tokens.len());
         let made = self.generation.tokens().len();
         self.entered.settle(self.base_cost + enter::cost(0, made));
         Ok(chunk)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,21 +8,28 @@
 //! | --- | --- |
 //! | [`settings`], [`manifest`], [`checked`] | what operators write, and how it is checked |
 //! | [`edge`] | traits for the outside systems, and their HTTP clients |
+//! | [`lease`] | when a lease may be claimed and used |
+//! | [`drain`] | graceful shutdown |
 //! | [`log`] | folds of the log's streams |
 //! | [`entry`] | the callers' side |
 //! | [`control`] | the operators' and the platform's side |
+//! | [`peer`] | membership, digests and links between daemons |
 //! | [`wire`] | typed messages at the borders |
 //! | [`http`] | HTTP client, server and refusals |
 
 pub mod checked;
 pub mod cmd;
 pub mod control;
+pub mod drain;
 pub mod edge;
 pub mod entry;
+pub mod failpoint;
 pub mod http;
+pub mod lease;
 pub mod log;
 pub mod manifest;
 pub mod names;
+pub mod peer;
 pub mod settings;
 #[cfg(feature = "standin")]
 pub mod standin;
--- a/src/log/config.rs
+++ b/src/log/config.rs
@@ -1,16 +1,18 @@
 //! The fold of the configuration stream: manifest, keys and rounds.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use crate::manifest::Manifest;
-use crate::names::{KeyDigest, Tenant, sha256_hex};
+use crate::names::{KeyDigest, ServerId, Tenant, sha256_hex};
 use crate::wire::{
     ConfigBody, ConfigRecord, ConfigSnapshot, KeyEntry, RoundEntry, RoundSpec, Verdict,
 };
 
 /// Verdicts that are remembered for whoever appended the records.
 const VERDICTS_KEPT: usize = 4_096;
+/// Most samples of one round.
+const ROUND_SAMPLES_MAX: u64 = 65_536;
 
 /// What is known of a key.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +42,8 @@
     pub keys: BTreeMap<KeyDigest, KeyInfo>,
     /// Rounds by name.
     pub rounds: BTreeMap<String, RoundEntry>,
+    /// Backend servers that are marked as leaving and get no new work.
+    pub leaving: BTreeSet<ServerId>,
 }
 
 impl ConfigState {
@@ -66,6 +70,7 @@
             manifest: self.text.to_string(),
             keys: self.keys.iter().map(key_entry).collect(),
             rounds: self.rounds.values().cloned().collect(),
+            leaving: self.leaving.iter().map(ServerId::to_string).collect(),
         }
     }
 }
@@ -138,6 +143,7 @@
             manifest: Arc::new(manifest),
             keys: snapshot.keys.into_iter().map(key_info).collect(),
             rounds: snapshot.rounds.into_iter().map(round_entry).collect(),
+            leaving: snapshot.leaving.into_iter().map(ServerId::from).collect(),
         };
         true
     }
@@ -160,6 +166,9 @@
             ConfigBody::KeyWithdraw { digest } => self.fold_withdraw(offset, &digest.into()),
             ConfigBody::RoundCreate { round } => self.fold_round(offset, round),
             ConfigBody::RoundCancel { name } => self.fold_cancel(offset, &name),
+            ConfigBody::ServerMark { leaving, server } => {
+                self.fold_mark(offset, leaving, server.into())
+            }
             ConfigBody::Snapshot { .. } => ignored("a snapshot of what is known"),
         }
     }
@@ -228,6 +237,10 @@
         if !manifest.models.contains_key(spec.model.as_str()) {
             return ignored(&format!("no model is named {}", spec.model));
         }
+        let samples = u64::from(spec.groups) * u64::from(spec.samples);
+        if samples == 0 || samples > ROUND_SAMPLES_MAX {
+            return ignored(&format!("expected 1 to {ROUND_SAMPLES_MAX} samples in all"));
+        }
         if self.state.rounds.contains_key(&spec.name) {
             return ignored("a round of this name is known already");
         }
@@ -246,6 +259,15 @@
         entry.cancelled = true;
         self.accepted(offset)
     }
+
+    fn fold_mark(&mut self, offset: u64, leaving: bool, server: ServerId) -> Verdict {
+        if leaving {
+            self.state.leaving.insert(server);
+        } else {
+            self.state.leaving.remove(&server);
+        }
+        self.accepted(offset)
+    }
 }
 
 fn ignored(reason: &str) -> Verdict {
--- a/src/log/tail.rs
+++ b/src/log/tail.rs
@@ -7,21 +7,17 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::{ConfigFold, ConfigState};
+use super::{Backoff, ConfigFold, ConfigState};
 use crate::edge::{EdgeResult, Log, Stream};
 use crate::wire::{ConfigBody, ConfigRecord, ConfigSnapshot, LogPage, Verdict};
 
 /// Longest wait of one read at the log's head.
 const POLL_WAIT: Duration = Duration::from_millis(800);
-/// First pause after a failed read; it doubles with each failure.
-const BACKOFF_FIRST: Duration = Duration::from_millis(50);
-/// Longest pause after failed reads.
-const BACKOFF_MAX: Duration = Duration::from_secs(1);
-
 /// When this process last knew the log's head.
 #[derive(Debug)]
 pub struct Freshness {
     seen: Mutex<Option<Instant>>,
+    read: Mutex<Option<Instant>>,
 }
 
 impl Freshness {
@@ -31,6 +27,12 @@
         *self.seen.lock()
     }
 
+    /// The instant at which the log last answered a read.
+    #[must_use]
+    pub fn read(&self) -> Option<Instant> {
+        *self.read.lock()
+    }
+
     /// Records that the folded state was the log's head at `instant`.
     pub fn confirm(&self, instant: Instant) {
         let mut seen = self.seen.lock();
@@ -61,6 +63,7 @@
             next: watch::Sender::new(0),
             freshness: Freshness {
                 seen: Mutex::new(None),
+                read: Mutex::new(None),
             },
         }
     }
@@ -103,7 +106,7 @@
     pub async fn submit(&self, record: &ConfigRecord, deadline: Instant) -> Option<Verdict> {
         let text = serde_json::to_string(record).ok()?;
         let mut next = self.watch();
-        let mut backoff = BACKOFF_FIRST;
+        let mut backoff = Backoff::default();
         while Instant::now() < deadline {
             if let Some(verdict) = self.verdict(&record.id) {
                 return Some(verdict);
@@ -114,22 +117,20 @@
                 let _ = tokio::time::timeout_at(deadline.into(), folded).await;
                 continue;
             }
-            tokio::time::sleep(jittered(backoff)).await;
-            backoff = (backoff * 2).min(BACKOFF_MAX);
+            backoff.pause().await;
         }
         self.verdict(&record.id)
     }
 
     /// Follows the stream for ever.
     pub async fn follow(&self) {
-        let mut backoff = BACKOFF_FIRST;
+        let mut backoff = Backoff::default();
         loop {
             match self.step().await {
-                Ok(()) => backoff = BACKOFF_FIRST,
+                Ok(()) => backoff.reset(),
                 Err(error) => {
                     spdlog::warn!("log read failed", kv: { error = error.to_string() });
-                    tokio::time::sleep(jittered(backoff)).await;
-                    backoff = (backoff * 2).min(BACKOFF_MAX);
+                    backoff.pause().await;
                 }
             }
         }
@@ -140,6 +141,7 @@
         let from = self.state.load().next;
         let asked = Instant::now();
         let page = self.log.read(Stream::Config, from, POLL_WAIT).await?;
+        *self.freshness.read.lock() = Some(Instant::now());
         self.fold_page(&page);
         if self.state.load().next >= page.next {
             self.freshness.confirm(asked);
@@ -183,8 +185,3 @@
         }
     }
 }
-
-/// A pause between half of `pause` and all of it.
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::random_range(0.5..=1.0))
-}
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::checked::{self, Findings};
+use crate::checked::{self, Field, Findings};
 use crate::names::{Model, Pool, Tenant, Zone};
 
 /// A checked manifest.
@@ -78,6 +78,8 @@
     pub poison: PoisonPolicy,
     /// Backend servers of a pool that one entry works with; 0 for all.
     pub subset: usize,
+    /// How the samples of a round are ordered and carried over.
+    pub rounds: RoundPolicy,
 }
 
 /// When a request that cannot run in time is refused.
@@ -120,6 +122,16 @@
     Ignore,
 }
 
+/// How the samples of a round are ordered and carried over.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RoundPolicy {
+    /// Long samples and the last ones of groups first; parts are carried over.
+    #[default]
+    Stragglers,
+    /// Groups in order; a sample that broke off is made again from the start.
+    Ordered,
+}
+
 /// How a backend server is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ChoicePolicy {
@@ -214,6 +226,12 @@
         checked::read(text, parse::manifest)
     }
 
+    /// The fields that a manifest may have.
+    #[must_use]
+    pub fn fields() -> Vec<Field> {
+        checked::fields(parse::manifest)
+    }
+
     /// The route with the longest path that `path` falls under.
     #[must_use]
     pub fn route(&self, path: &str) -> Option<&RouteSpec> {
--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -5,7 +5,7 @@
 
 use super::{
     ChoicePolicy, EjectionPolicy, Limits, Manifest, ModelSpec, PoisonPolicy, Policy, PoolKind,
-    PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RouteSpec, TenantSpec,
+    PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RoundPolicy, RouteSpec, TenantSpec,
 };
 use crate::checked::Table;
 use crate::names::{Model, Pool, Tenant};
@@ -95,7 +95,12 @@
         ("contain", PoisonPolicy::Contain),
         ("ignore", PoisonPolicy::Ignore),
     ];
+    let rounds = [
+        ("stragglers", RoundPolicy::Stragglers),
+        ("ordered", RoundPolicy::Ordered),
+    ];
     Policy {
+        rounds: table.choice_or("rounds", RoundPolicy::default(), &rounds),
         choice: table.choice_or("choice", ChoicePolicy::default(), &choices),
         queue: table.choice_or("queue", QueuePolicy::default(), &queues),
         refusal: table.choice_or("refusal", RefusalPolicy::default(), &refusals),
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -10,6 +10,7 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::names::sha256_hex;
@@ -21,6 +22,12 @@
 
 /// Prompts with this word crash the engine that runs them.
 pub const POISON: &str = "POISON";
+/// Prompts with this word get answers whose length depends on the seed.
+pub const HEAVY_TAIL: &str = "HEAVYTAIL";
+/// Times the median that the longest answers of a heavy tail are.
+const TAIL_FACTOR: u64 = 20;
+/// One answer of a heavy tail in this many is a long one.
+const TAIL_ONE_IN: u64 = 100;
 /// Chunks that may wait for a slow reader.
 const CHUNKS_WAITING: usize = 4;
 
@@ -60,8 +67,31 @@
     }
 }
 
+/// How an engine fails on purpose.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Fail {
+    /// It answers each request with an error.
+    Refuse,
+    /// It ends each stream before its first chunk.
+    Break,
+}
+
+/// What an engine did so far.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct EngineCounts {
+    /// Requests that came.
+    pub came: u64,
+    /// Words of their prompts.
+    pub words: u64,
+    /// Words of them that were cached.
+    pub cached: u64,
+}
+
 #[derive(Debug)]
 struct State {
+    fail: Option<Fail>,
+    counts: EngineCounts,
     model: String,
     version: u64,
     fence: u64,
@@ -119,6 +149,8 @@
             store,
             crash,
             state: Mutex::new(State {
+                fail: None,
+                counts: EngineCounts::default(),
                 model: String::new(),
                 version: 0,
                 fence: 0,
@@ -158,6 +190,17 @@
         state.version = version;
     }
 
+    /// Makes the engine fail in a way, or work again.
+    pub fn set_fail(&self, fail: Option<Fail>) {
+        self.state.lock().fail = fail;
+    }
+
+    /// What it did so far.
+    #[must_use]
+    pub fn counts(&self) -> EngineCounts {
+        self.state.lock().counts
+    }
+
     /// Tokens generated so far.
     #[must_use]
     pub fn generated(&self) -> u64 {
@@ -211,10 +254,12 @@
     }
 
     fn generate(self: Arc<Self>, request: EngineRequest) -> Response<serve::Body> {
-        let state = self.state.lock();
-        let wrong = request
-            .version
-            .is_some_and(|version| version != state.version);
+        let mut state = self.state.lock();
+        state.counts.came += 1;
+        if state.fail == Some(Fail::Refuse) {
+            return whole(StatusCode::INTERNAL_SERVER_ERROR, "it fails on purpose");
+        }
+        let wrong = request.version.is_some_and(|oldest| oldest > state.version);
         if state.model != request.model || wrong {
             return whole(StatusCode::CONFLICT, "another model or version is loaded");
         }
@@ -238,19 +283,23 @@
             slot = slot => slot,
             () = sender.closed() => return,
         };
+        if self.state.lock().fail == Some(Fail::Break) {
+            return;
+        }
         if request.prompt.contains(POISON) {
             let _ = self.crash.send(());
             return;
         }
         let words = request.prompt.split_whitespace().count();
-        let cached = self.state.lock().cache.visit(&request.prompt);
+        let cached = self.visit(&request.prompt, words);
         let missing = u32::try_from(words.saturating_sub(cached)).unwrap_or(u32::MAX);
         tokio::time::sleep(self.config.prefill * missing).await;
-        let total = request.max_tokens as usize;
+        let total = answer_length(&request);
         let mut index = request.resume.len();
         while index <= total {
             let count = self.config.chunk.min(total - index);
             self.pace(count).await;
+            let version = self.note_generated(count);
             let chunk = EngineChunk {
                 cached: u32::try_from(cached).ok(),
                 done: index + count >= total,
@@ -258,9 +307,9 @@
                 index: u32::try_from(index).unwrap_or(u32::MAX),
                 prompt_tokens: u32::try_from(words).ok(),
                 tokens: (index..index + count)
-                    .map(|n| token(&request.id, n))
+                    .map(|n| token_of(&request, version, n))
                     .collect(),
-                version: self.note_generated(count),
+                version,
             };
             let done = chunk.done;
             if sender.send(chunk).await.is_err() || done {
@@ -271,6 +320,15 @@
         self.state.lock().served += 1;
     }
 
+    /// Caches a prompt; returns its words that were cached before.
+    fn visit(&self, prompt: &str, words: usize) -> usize {
+        let mut state = self.state.lock();
+        let cached = state.cache.visit(prompt);
+        state.counts.words += words as u64;
+        state.counts.cached += cached as u64;
+        cached
+    }
+
     /// Waits for a slot, lower priority numbers first.
     async fn slot(self: &Arc<Self>, priority: u32) -> SlotGuard {
         let waiting = {
@@ -308,6 +366,36 @@
     }
 }
 
+/// Tokens of the whole answer to a request.
+///
+/// In a heavy tail the longest answers are as long as the request allows.
+fn answer_length(request: &EngineRequest) -> usize {
+    let most = u64::from(request.max_tokens);
+    let Some(seed) = request.seed.filter(|_| request.prompt.contains(HEAVY_TAIL)) else {
+        return request.max_tokens as usize;
+    };
+    let median = (most / TAIL_FACTOR).max(1);
+    let length = if seed.is_multiple_of(TAIL_ONE_IN) {
+        most
+    } else {
+        median / 2 + (seed / TAIL_ONE_IN) % (median + 1)
+    };
+    usize::try_from(length).unwrap_or(usize::MAX)
+}
+
+fn token_of(request: &EngineRequest, version: u64, index: usize) -> String {
+    match request.seed {
+        Some(_) => sample_token(&request.id, version, index),
+        None => token(&request.id, index),
+    }
+}
+
+/// The token at place `index` of the sample `id`, which shows the version that made it.
+#[must_use]
+pub fn sample_token(id: &str, version: u64, index: usize) -> String {
+    token(&format!("{id}@{version}"), index)
+}
+
 /// The token that every engine makes at place `index` of the answer to `id`.
 #[must_use]
 pub fn token(id: &str, index: usize) -> String {
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -13,7 +13,7 @@
     BackendServer, Order, OrderAction, OrderOutcome, OrderResult, Price, ServerList, ServerState,
 };
 
-use super::engine::{Engine, EngineConfig};
+use super::engine::{Engine, EngineConfig, EngineCounts, Fail};
 use super::serve::Served;
 use super::service::{self, ServiceRecord};
 use super::weights::WeightStore;
@@ -76,6 +76,12 @@
         })
     }
 
+    /// The address on which ports of servers open.
+    #[must_use]
+    pub fn ip(&self) -> IpAddr {
+        self.ip
+    }
+
     /// Starts one server and returns its id.
     ///
     /// # Errors
@@ -170,6 +176,23 @@
         self.orders.lock().clone()
     }
 
+    /// What each engine did, by server.
+    #[must_use]
+    pub fn engine_counts(&self) -> BTreeMap<String, EngineCounts> {
+        let members = self.members.lock();
+        let engines = members
+            .iter()
+            .filter_map(|(id, member)| Some((id.clone(), member.engine.as_ref()?.counts())));
+        engines.collect()
+    }
+
+    /// Makes an engine fail in a way; false when there is no such engine.
+    pub fn set_fail(&self, id: &str, fail: Option<Fail>) -> bool {
+        let members = self.members.lock();
+        let engine = members.get(id).and_then(|member| member.engine.as_ref());
+        engine.map(|engine| engine.set_fail(fail)).is_some()
+    }
+
     /// Tokens that all engines now running generated.
     #[must_use]
     pub fn generated(&self) -> u64 {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,12 +3,15 @@
 //! They are never part of an instance. One process holds the whole platform and the
 //! backend servers; its faults are set by `POST /fault`.
 
+pub mod demo;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
+pub mod load;
 pub mod log;
 pub mod platform;
 pub mod prefix;
+pub mod relay;
 pub mod serve;
 pub mod service;
 pub mod weights;
@@ -32,6 +35,12 @@
 enum Command {
     #[options(help = "serve the platform's interfaces and backend servers")]
     Platform(platform::Args),
+    #[options(help = "go through the main job once and check every answer")]
+    Demo(demo::Args),
+    #[options(help = "compare reported usage with a replay")]
+    Compare(demo::CompareArgs),
+    #[options(help = "send requests at stated rates and check every answer")]
+    Load(load::Args),
 }
 
 /// Parses the command line and runs the stand-in that it names.
@@ -44,6 +53,9 @@
     };
     let done = match command {
         Command::Platform(args) => platform::run(&args),
+        Command::Demo(args) => demo::run(&args),
+        Command::Compare(args) => demo::compare(&args),
+        Command::Load(args) => load::run(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -30,6 +30,16 @@
     pub state: ServerState,
     pub zone: ::std::string::String,
 }
+#[doc = "The part of a digest that changes all the time."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct Beat {
+    pub age: u64,
+    pub fresh: bool,
+    #[doc = "Hash of the incarnation."]
+    pub id: u64,
+    pub next: u64,
+    pub seq: u64,
+}
 #[doc = "What a configuration record says."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
@@ -59,6 +69,12 @@
     #[doc = "snapshot\n\nThe folded state of all records before offset `upto`."]
     #[serde(rename = "snapshot")]
     Snapshot { state: ConfigSnapshot, upto: u64 },
+    #[doc = "server_mark\n\nMarks a backend server as leaving, or takes the mark away."]
+    #[serde(rename = "server_mark")]
+    ServerMark {
+        leaving: bool,
+        server: ::std::string::String,
+    },
 }
 #[doc = "One record of the configuration stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -71,6 +87,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct ConfigSnapshot {
     pub keys: ::std::vec::Vec<KeyEntry>,
+    #[doc = "Servers that are marked as leaving."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub leaving: ::std::vec::Vec<::std::string::String>,
     pub manifest: ::std::string::String,
     pub revision: u64,
     pub rounds: ::std::vec::Vec<RoundEntry>,
@@ -81,6 +100,66 @@
     pub age_ms: u64,
     pub fingerprint: ::std::string::String,
     pub server: ::std::string::String,
+    pub stage: CrashStage,
+}
+#[doc = "A crash that was seen, seen with no other suspect there, or a suspect's run under way."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum CrashStage {
+    #[serde(rename = "seen")]
+    Seen,
+    #[serde(rename = "alone")]
+    Alone,
+    #[serde(rename = "trial")]
+    Trial,
+    #[serde(rename = "trial-alone")]
+    TrialAlone,
+}
+impl ::std::fmt::Display for CrashStage {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Seen => f.write_str("seen"),
+            Self::Alone => f.write_str("alone"),
+            Self::Trial => f.write_str("trial"),
+            Self::TrialAlone => f.write_str("trial-alone"),
+        }
+    }
+}
+impl ::std::str::FromStr for CrashStage {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "seen" => Ok(Self::Seen),
+            "alone" => Ok(Self::Alone),
+            "trial" => Ok(Self::Trial),
+            "trial-alone" => Ok(Self::TrialAlone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for CrashStage {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CrashStage {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
 }
 #[doc = "Which daemon a peer is."]
 #[derive(
@@ -136,13 +215,19 @@
 #[doc = "What one daemon tells its peers about itself; passed on by peers. A higher `seq` replaces a lower one."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Digest {
+    #[doc = "Time since `seq` was counted up, added up along the way."]
+    pub age_ms: u64,
     #[doc = "Offset of the configuration stream up to which the sender has folded."]
     pub config_next: u64,
+    #[doc = "The `seq` of the last change of what no beat carries."]
+    pub content: u64,
     pub crashes: ::std::vec::Vec<Crash>,
     pub daemon: Daemon,
     pub demand: ::std::vec::Vec<TenantDemand>,
-    #[doc = "Age of the sender's knowledge of the log's head when the digest was made or passed on."]
-    pub fresh_age_ms: u64,
+    #[doc = "Digests of keys that are withdrawn, though the log does not show it yet."]
+    pub denied: ::std::vec::Vec<::std::string::String>,
+    #[doc = "Whether the sender could show that its configuration is up to date."]
+    pub fresh: bool,
     pub incarnation: ::std::string::String,
     pub instance: ::std::string::String,
     pub leases: ::std::vec::Vec<LeaseHeld>,
@@ -150,6 +235,8 @@
     pub loads: ::std::vec::Vec<ServerLoad>,
     #[doc = "SHA-256 of the manifest in force, in hex."]
     pub manifest: ::std::string::String,
+    #[doc = "Address of the sender's peers' link."]
+    pub peer: ::std::string::String,
     pub revision: u64,
     pub seq: u64,
     pub url: ::std::string::String,
@@ -202,7 +289,7 @@
     #[doc = "Seed of this sample."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub seed: ::std::option::Option<u64>,
-    #[doc = "Weight version that is required, when any."]
+    #[doc = "Oldest weight version that may make these tokens, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
@@ -218,6 +305,7 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Header {
     pub name: ::std::string::String,
+    #[doc = "Base64 of the value."]
     pub value: ::std::string::String,
 }
 #[doc = "One instance of the platform's instance list."]
@@ -309,7 +397,7 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
 pub enum LeaseBody {
-    #[doc = "claim\n\nClaims a lease after the claim at offset `succeeds` (none for the first)."]
+    #[doc = "claim\n\nClaims a lease; `succeeds` is the offset of the role's last record that counted (none for the first)."]
     #[serde(rename = "claim")]
     Claim {
         holder: ::std::string::String,
@@ -323,6 +411,21 @@
     #[doc = "release\n\nGives up the claim at offset `claim`."]
     #[serde(rename = "release")]
     Release { claim: u64, role: Role },
+    #[doc = "snapshot\n\nThe folded leases of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot {
+        leases: ::std::vec::Vec<LeaseEntry>,
+        upto: u64,
+    },
+}
+#[doc = "One role's lease; `last` is the offset of the last record that counted."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct LeaseEntry {
+    pub claim: u64,
+    pub holder: ::std::string::String,
+    pub last: u64,
+    pub released: bool,
+    pub role: Role,
 }
 #[doc = "A lease as its holder sees it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
@@ -366,6 +469,9 @@
     #[doc = "Base64 of the body."]
     pub body: ::std::string::String,
     pub headers: ::std::vec::Vec<Header>,
+    #[doc = "Digest of the caller's key; none on open routes."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub key: ::std::option::Option<::std::string::String>,
     pub method: ::std::string::String,
     pub path: ::std::string::String,
     pub tenant: ::std::string::String,
@@ -404,6 +510,9 @@
     Outcome {
         order: ::std::string::String,
         outcome: OrderOutcome,
+        #[doc = "The server that the order was about."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        server: ::std::option::Option<::std::string::String>,
     },
 }
 #[doc = "The end of an order."]
@@ -486,9 +595,24 @@
         incarnation: ::std::string::String,
         instance: ::std::string::String,
     },
-    #[doc = "digests\n\nDigests that the sender knows."]
+    #[doc = "digests\n\nDigests and beats that the receiver lacks, and what the sender knows of the log's head."]
     #[serde(rename = "digests")]
-    Digests { digests: ::std::vec::Vec<Digest> },
+    Digests {
+        beats: ::std::vec::Vec<Beat>,
+        digests: ::std::vec::Vec<Digest>,
+        #[doc = "The last stamp that came from the receiver."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        echo: ::std::option::Option<u64>,
+        #[doc = "Time since `next` was the log's head or past it."]
+        #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+        head_age_ms: ::std::option::Option<u64>,
+        #[doc = "Time since that stamp came."]
+        held_ms: u64,
+        #[doc = "Offset up to which the sender has folded."]
+        next: u64,
+        #[doc = "The sender's clock in milliseconds."]
+        stamp: u64,
+    },
     #[doc = "once_ask\n\nAsks the incarnation that owns an idempotency key for its answer."]
     #[serde(rename = "once_ask")]
     OnceAsk {
@@ -503,7 +627,10 @@
     #[serde(rename = "usage_copy")]
     UsageCopy {
         counts: ::std::vec::Vec<UsageCount>,
+        from: u64,
         incarnation: ::std::string::String,
+        open: ::std::vec::Vec<UsageOpen>,
+        seq: u64,
     },
     #[serde(rename = "state_ask")]
     StateAsk,
@@ -583,6 +710,8 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Pull {
     pub max: u32,
+    #[doc = "1 for the first pull. A repeat carries the same number; the next number acknowledges the last batch."]
+    pub seq: u64,
     pub version: u64,
     pub wait_ms: u64,
 }
@@ -591,6 +720,7 @@
 pub struct Pulled {
     pub missing: u32,
     pub samples: ::std::vec::Vec<Sample>,
+    pub seq: u64,
 }
 #[doc = "What a lease is held for."]
 #[derive(
@@ -727,6 +857,8 @@
 #[doc = "A whole sample with the weight versions that made it."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct Sample {
+    #[doc = "Request id that the engines echoed."]
+    pub id: ::std::string::String,
     pub segments: ::std::vec::Vec<Segment>,
     pub slot: Slot,
     pub text: ::std::string::String,
@@ -744,13 +876,20 @@
 pub struct SampleRequest {
     pub avoid: ::std::vec::Vec<::std::string::String>,
     pub deadline_ms: u64,
+    #[doc = "Request id, the same for all parts of one sample."]
+    pub id: ::std::string::String,
     pub max_tokens: u32,
     pub model: ::std::string::String,
     pub prompt: ::std::string::String,
     pub resume: ::std::vec::Vec<::std::string::String>,
     pub seed: u64,
     pub segments: ::std::vec::Vec<Segment>,
+    #[doc = "Milliseconds from the first token after which a partial answer is wanted; 0 for never."]
+    pub slice_ms: u64,
     pub tenant: ::std::string::String,
+    #[doc = "Whether it goes before other rollout work."]
+    pub urgent: bool,
+    #[doc = "Oldest weight version that may make it, when any."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub version: ::std::option::Option<u64>,
 }
@@ -882,8 +1021,17 @@
     #[serde(rename = "counters")]
     Counters {
         counts: ::std::vec::Vec<UsageCount>,
+        #[doc = "The log holds the last counts of this incarnation for all windows before this one."]
+        from: u64,
         incarnation: ::std::string::String,
+        #[doc = "Requests not yet counted, in place of earlier ones."]
+        open: ::std::vec::Vec<UsageOpen>,
+        #[doc = "Counts the incarnation's records."]
+        seq: u64,
     },
+    #[doc = "snapshot\n\nThe fold of all records before offset `upto`."]
+    #[serde(rename = "snapshot")]
+    Snapshot { state: UsageSnapshot, upto: u64 },
     #[doc = "close\n\nCloses a window. The first one in log order counts; its offset is the cut."]
     #[serde(rename = "close")]
     Close { window: u64 },
@@ -897,9 +1045,22 @@
     pub amount: u64,
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
-    #[doc = "Window number: Unix seconds divided by the window's length."]
+    #[doc = "Start of the window in Unix seconds, a multiple of the window's length."]
     pub window: u64,
 }
+#[doc = "What the fold keeps of one incarnation."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageIncarnation {
+    pub counts: ::std::vec::Vec<UsageCount>,
+    pub from: u64,
+    pub incarnation: ::std::string::String,
+    #[doc = "The latest window counted in."]
+    pub last: u64,
+    pub open: ::std::vec::Vec<UsageOpen>,
+    pub seq: u64,
+    #[doc = "Offset of its last record."]
+    pub touched: u64,
+}
 #[doc = "One tenant's figure. `late` holds what earlier windows missed."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageLine {
@@ -908,6 +1069,13 @@
     pub tenant: ::std::string::String,
     pub unit: UsageUnit,
 }
+#[doc = "Requests of a tenant that run and are not yet counted, with the most tokens they may make."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageOpen {
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "One record of the usage stream."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct UsageRecord {
@@ -920,6 +1088,41 @@
     pub lines: ::std::vec::Vec<UsageLine>,
     pub window: u64,
 }
+#[doc = "The state of the usage fold."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageSnapshot {
+    #[doc = "The windows closed last, oldest first."]
+    pub closings: ::std::vec::Vec<u64>,
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    pub incarnations: ::std::vec::Vec<UsageIncarnation>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Closed windows."]
+    pub unreported: ::std::vec::Vec<UsageReport>,
+    #[doc = "Figures of open windows."]
+    pub windows: ::std::vec::Vec<UsageReport>,
+}
+#[doc = "Answer of the operators' usage call."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageStatus {
+    #[doc = "Too late to be charged."]
+    pub expired: ::std::vec::Vec<UsageLine>,
+    #[doc = "For the window closed next."]
+    pub late: ::std::vec::Vec<UsageLine>,
+    #[doc = "Offset up to which the log is folded."]
+    pub next: u64,
+    pub uncertain: ::std::vec::Vec<UsageUncertain>,
+    pub windows: ::std::vec::Vec<UsageWindow>,
+}
+#[doc = "Requests that an incarnation last said to run, and has not counted since."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageUncertain {
+    pub incarnation: ::std::string::String,
+    pub requests: u64,
+    pub tenant: ::std::string::String,
+    pub tokens: u64,
+}
 #[doc = "What is counted."]
 #[derive(
     :: serde :: Deserialize,
@@ -975,6 +1178,68 @@
         value.parse()
     }
 }
+#[doc = "One usage window as operators see it."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub struct UsageWindow {
+    pub lines: ::std::vec::Vec<UsageLine>,
+    pub state: UsageWindowState,
+    pub window: u64,
+}
+#[doc = "State of a usage window."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum UsageWindowState {
+    #[serde(rename = "open")]
+    Open,
+    #[serde(rename = "closed")]
+    Closed,
+    #[serde(rename = "reported")]
+    Reported,
+}
+impl ::std::fmt::Display for UsageWindowState {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Open => f.write_str("open"),
+            Self::Closed => f.write_str("closed"),
+            Self::Reported => f.write_str("reported"),
+        }
+    }
+}
+impl ::std::str::FromStr for UsageWindowState {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "open" => Ok(Self::Open),
+            "closed" => Ok(Self::Closed),
+            "reported" => Ok(Self::Reported),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for UsageWindowState {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 #[doc = "What the fold made of a configuration record."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(tag = "kind")]
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,7 +2,17 @@
 #![cfg(feature = "standin")]
 
 mod bad_input;
+mod check;
+mod drain;
 mod leak;
+mod load;
+mod once;
+mod openapi;
 mod path;
+mod peers;
+mod poison;
+mod rounds;
 mod stop;
+mod trainer;
+mod usage;
 mod workdir;
