--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,9 +2,13 @@
 
 pub mod leases;
 mod operator;
+pub mod orders;
+pub mod plan;
 mod rounds;
 mod serve;
+mod snapshot;
 pub mod usage;
+mod weights;
 mod withdraw;
 
 use std::sync::Arc;
@@ -21,6 +25,7 @@
 use crate::wire::Daemon;
 
 use rounds::Rounds;
+use weights::Weights;
 
 /// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
 const FINISH: Duration = Duration::from_secs(35);
@@ -36,6 +41,7 @@
     servers: HttpServers,
     leases: Arc<leases::Leases>,
     usage: Arc<usage::UsageWindows>,
+    orders: Arc<orders::Orders>,
     metrics: Metrics,
     client: Client,
 }
@@ -61,7 +67,7 @@
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
         let usage = usage::UsageWindows::new(
-            log,
+            log.clone(),
             sink,
             Arc::clone(&leases),
             Arc::clone(&config),
@@ -75,14 +81,25 @@
             instances,
             &metrics.meter(),
         );
+        let servers = HttpServers::new(&client, &settings.platform.servers);
+        let orders = orders::Orders {
+            log,
+            servers: Arc::new(servers.clone()),
+            leases: Arc::clone(&leases),
+            config: Arc::clone(&config),
+            peers: Arc::clone(&peers),
+            client: client.clone(),
+            counts: orders::OrderMetrics::new(&metrics.meter()),
+        };
         Ok(Self {
             incarnation,
+            orders: Arc::new(orders),
             config,
             peers,
             drain: Arc::default(),
             leases,
             usage: Arc::new(usage),
-            servers: HttpServers::new(&client, &settings.platform.servers),
+            servers,
             client,
             metrics,
             settings,
@@ -102,6 +119,11 @@
         let leases = Arc::clone(&control.leases);
         tokio::spawn(async move { leases.run().await });
         tokio::spawn(Arc::clone(&control.usage).run());
+        let orders = Arc::clone(&control.orders);
+        let log = Arc::clone(&orders.log);
+        let (config, leases) = (Arc::clone(&orders.config), Arc::clone(&orders.leases));
+        tokio::spawn(snapshot::run(log, config, leases));
+        tokio::spawn(orders.run());
         let address = control.settings.control.http;
         let threads = control.settings.threads;
         let rounds = Rounds::new(
@@ -112,6 +134,15 @@
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
+        let weights = Weights::new(
+            Arc::clone(&control.config),
+            Arc::clone(&control.peers),
+            Arc::clone(&control.leases),
+            control.servers.clone(),
+            &control.client,
+            &control.metrics.meter(),
+        );
+        tokio::spawn(weights.run());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
             serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -320,3 +320,6 @@
             .sum()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 mod generate;
 mod leak;
 mod limit;
+mod marked;
 mod metrics;
 mod once;
 mod others;
@@ -55,7 +56,7 @@
 pub(crate) use auth::bearer;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
-pub use usage::{UsageBatch, UsageCopies, UsageCounters};
+pub use usage::{ADOPT_AFTER, UsageBatch, UsageCopies, UsageCounters};
 
 /// Time in which the last counters must reach the log at shutdown.
 const FLUSH: Duration = Duration::from_secs(5);
@@ -73,6 +74,7 @@
     servers: ServerTable,
     log: Arc<HttpLog>,
     usage: UsageCounters,
+    copies: UsageCopies,
     appends: tokio::sync::Mutex<usage::AppendState>,
     usage_metrics: usage::UsageMetrics,
     admission: admit::Admission,
@@ -93,10 +95,13 @@
     pub fn new(settings: Settings) -> std::io::Result<Self> {
         let client = Client::new();
         let log = Arc::new(HttpLog::new(&client, &settings.platform.log));
-        let servers = HttpServers::new(&client, &settings.platform.servers);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
         let incarnation = Incarnation::random();
         let config = Arc::new(ConfigLog::new(log.clone()));
+        let marked = marked::MarkedServers {
+            inner: HttpServers::new(&client, &settings.platform.servers),
+            config: Arc::clone(&config),
+        };
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
         let peers = Peers::new(
             &settings,
@@ -114,8 +119,9 @@
             once: once::OnceTable::default(),
             hold: drain::HoldBound::default(),
             log,
-            servers: ServerTable::new(Arc::new(servers)),
+            servers: ServerTable::new(Arc::new(marked)),
             usage: UsageCounters::default(),
+            copies: UsageCopies::default(),
             appends: tokio::sync::Mutex::default(),
             usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             admission: admit::Admission::default(),
@@ -139,9 +145,12 @@
         tokio::spawn(follow_config(Arc::clone(&entry)));
         tokio::spawn(follow_servers(Arc::clone(&entry)));
         once::serve_asks(&entry);
+        usage::serve_copies(&entry);
         entry.peers.run().await?;
         tokio::spawn(drain::follow_hold(Arc::clone(&entry)));
         tokio::spawn(usage::follow(Arc::clone(&entry)));
+        tokio::spawn(usage::share(Arc::clone(&entry)));
+        tokio::spawn(usage::adopt(Arc::clone(&entry)));
         tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
         tokio::spawn(poll::follow(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -166,8 +166,8 @@
         let tried = attempt(entry, &inflight.server.address, call, repeat, deadline).await;
         let error = match tried {
             Ok(answer) => {
-                inflight.server.succeed(Instant::now());
                 count(entry, caller);
+                inflight.server.succeed(Instant::now());
                 return Ok(answer);
             }
             Err(error) => error,
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -16,6 +16,8 @@
     pub limits: Limits,
     /// Choices between policies.
     pub policy: Policy,
+    /// How weights are loaded.
+    pub weights: WeightLimits,
     /// Length of a usage window in seconds.
     pub window: u64,
     /// Tenants by name.
@@ -68,6 +70,8 @@
     pub choice: ChoicePolicy,
     /// How waiting requests are ordered.
     pub queue: QueuePolicy,
+    /// How the samples of a round are ordered and carried over.
+    pub rounds: RoundPolicy,
     /// When a request that cannot run in time is refused.
     pub refusal: RefusalPolicy,
     /// How many attempts are made beyond the first ones.
@@ -78,8 +82,16 @@
     pub poison: PoisonPolicy,
     /// Backend servers of a pool that one entry works with; 0 for all.
     pub subset: usize,
-    /// How the samples of a round are ordered and carried over.
-    pub rounds: RoundPolicy,
+}
+
+/// How the samples of a round are ordered and carried over.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RoundPolicy {
+    /// Long samples and the last ones of groups first; parts are carried over.
+    #[default]
+    Stragglers,
+    /// Groups in order; a sample that broke off is made again from the start.
+    Ordered,
 }
 
 /// When a request that cannot run in time is refused.
@@ -122,16 +134,6 @@
     Ignore,
 }
 
-/// How the samples of a round are ordered and carried over.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum RoundPolicy {
-    /// Long samples and the last ones of groups first; parts are carried over.
-    #[default]
-    Stragglers,
-    /// Groups in order; a sample that broke off is made again from the start.
-    Ordered,
-}
-
 /// How a backend server is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ChoicePolicy {
@@ -154,6 +156,21 @@
     Fifo,
 }
 
+/// How weights are loaded.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightLimits {
+    /// Loads that the weight store serves at a time.
+    pub loads: usize,
+    /// Share of a pool's engines that must go on serving, in percent.
+    pub keep: u64,
+}
+
+impl Default for WeightLimits {
+    fn default() -> Self {
+        Self { loads: 4, keep: 60 }
+    }
+}
+
 /// One tenant.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct TenantSpec {
--- a/src/manifest/parse.rs
+++ b/src/manifest/parse.rs
@@ -6,6 +6,7 @@
 use super::{
     ChoicePolicy, EjectionPolicy, Limits, Manifest, ModelSpec, PoisonPolicy, Policy, PoolKind,
     PoolSpec, QueuePolicy, RefusalPolicy, RetryPolicy, RoundPolicy, RouteSpec, TenantSpec,
+    WeightLimits,
 };
 use crate::checked::Table;
 use crate::names::{Model, Pool, Tenant};
@@ -19,6 +20,7 @@
 const WEIGHT: RangeInclusive<u64> = 1..=1_000;
 const PERCENT: RangeInclusive<u64> = 0..=100;
 const SERVERS: RangeInclusive<u64> = 0..=10_000;
+const LOADS: RangeInclusive<u64> = 1..=10_000;
 const SLOTS: RangeInclusive<u64> = 1..=10_000;
 
 /// Milliseconds that a call of a route may take by default.
@@ -40,6 +42,7 @@
         base: root.number("base", &ANY),
         limits: limits(root),
         policy: policy(root),
+        weights: weights(root),
         window: usage.as_ref().map_or(DEFAULT_WINDOW_S, window),
         tenants: tenants(root),
         pools,
@@ -79,6 +82,10 @@
         ("round-robin", ChoicePolicy::RoundRobin),
     ];
     let queues = [("fair", QueuePolicy::Fair), ("fifo", QueuePolicy::Fifo)];
+    let rounds = [
+        ("stragglers", RoundPolicy::Stragglers),
+        ("ordered", RoundPolicy::Ordered),
+    ];
     let refusals = [
         ("early", RefusalPolicy::Early),
         ("late", RefusalPolicy::Late),
@@ -95,10 +102,6 @@
         ("contain", PoisonPolicy::Contain),
         ("ignore", PoisonPolicy::Ignore),
     ];
-    let rounds = [
-        ("stragglers", RoundPolicy::Stragglers),
-        ("ordered", RoundPolicy::Ordered),
-    ];
     Policy {
         rounds: table.choice_or("rounds", RoundPolicy::default(), &rounds),
         choice: table.choice_or("choice", ChoicePolicy::default(), &choices),
@@ -111,6 +114,17 @@
     }
 }
 
+fn weights(root: &Table<'_>) -> WeightLimits {
+    let base = WeightLimits::default();
+    let Some(table) = root.table_opt("weights") else {
+        return base;
+    };
+    WeightLimits {
+        loads: size(table.number_or("loads", base.loads as u64, &LOADS)),
+        keep: table.number_or("keep_percent", base.keep, &PERCENT),
+    }
+}
+
 /// Inserts an item under its name and reports a name that stands twice.
 fn insert<K: Ord + std::fmt::Display, V>(
     map: &mut BTreeMap<K, V>,
--- a/src/standin/load/tally.rs
+++ b/src/standin/load/tally.rs
@@ -10,6 +10,8 @@
 
 /// Longest time that histograms hold, in microseconds.
 const LONGEST_US: u64 = 600_000_000;
+/// Requests that came to nothing and are shown.
+const ERRORS_SHOWN: usize = 5;
 /// Digits that histograms keep.
 const DIGITS: u8 = 3;
 
@@ -53,6 +55,8 @@
 #[derive(Debug)]
 pub(super) struct Tally {
     tokens: u32,
+    /// The first requests that came to nothing, in words.
+    errors: Vec<String>,
     tenants: BTreeMap<String, Counts>,
 }
 
@@ -84,6 +88,7 @@
     whole: u64,
     /// Tokens of whole answers a second.
     goodput: f64,
+    errors: Vec<String>,
     tenants: BTreeMap<String, TenantReport>,
 }
 
@@ -92,6 +97,7 @@
     pub(super) fn new(tokens: u32) -> Self {
         Self {
             tokens,
+            errors: Vec::new(),
             tenants: BTreeMap::new(),
         }
     }
@@ -119,13 +125,13 @@
                 counts.refused.saturating_record(micros(*after));
             }
             Outcome::Failed(detail) | Outcome::NoAnswer(detail) => {
-                eprintln!("{tenant}: {detail}");
+                self.errors.push(format!("{tenant}: {detail}"));
                 let is_failed = matches!(outcome, Outcome::Failed(_));
                 counts.failed += u64::from(is_failed);
                 counts.unanswered += u64::from(!is_failed);
             }
             Outcome::Wrong(detail) => {
-                eprintln!("{tenant}: wrong: {detail}");
+                self.errors.push(format!("{tenant}: wrong: {detail}"));
                 counts.wrong += 1;
             }
         }
@@ -141,6 +147,7 @@
             asked: all.map(|counts| counts.asked).sum(),
             whole,
             goodput: ratio(whole * u64::from(self.tokens), seconds),
+            errors: self.errors.iter().take(ERRORS_SHOWN).cloned().collect(),
             tenants: tenants
                 .map(|(name, counts)| (name.clone(), counts.report()))
                 .collect(),
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,17 +3,21 @@
 //! They are never part of an instance. One process holds the whole platform and the
 //! backend servers; its faults are set by `POST /fault`.
 
+pub mod config;
+pub mod counts;
 pub mod demo;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
 pub mod load;
+pub mod loading;
 pub mod log;
 pub mod platform;
 pub mod prefix;
 pub mod relay;
 pub mod serve;
 pub mod service;
+mod spec;
 pub mod weights;
 
 use std::process::ExitCode;
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -91,6 +91,9 @@
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub leaving: ::std::vec::Vec<::std::string::String>,
     pub manifest: ::std::string::String,
+    #[doc = "Ids of the last records, so that repeats stay without effect."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub recent: ::std::vec::Vec<::std::string::String>,
     pub revision: u64,
     pub rounds: ::std::vec::Vec<RoundEntry>,
 }
@@ -261,6 +264,13 @@
 #[doc = "A model engine's lagged load report."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub struct EngineLoad {
+    #[doc = "Version whose last load failed, if it did."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub failed: ::std::option::Option<u64>,
+    #[doc = "Version that is being loaded, if any."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub loading: ::std::option::Option<u64>,
+    #[doc = "Empty when no weights are usable."]
     pub model: ::std::string::String,
     pub queued_tokens: u64,
     pub running: u32,
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,11 +3,14 @@
 
 mod bad_input;
 mod check;
+mod config_log;
 mod drain;
 mod leak;
+mod lease;
 mod load;
 mod once;
 mod openapi;
+mod orders;
 mod path;
 mod peers;
 mod poison;
@@ -15,4 +18,5 @@
 mod stop;
 mod trainer;
 mod usage;
+mod weights;
 mod workdir;
