--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -298,6 +298,12 @@
         }
     }
 
+    /// Whether no request of a pool may run.
+    #[must_use]
+    pub fn is_closed(&self, pool: &Pool) -> bool {
+        self.gate(pool).state.lock().bounds.running == 0
+    }
+
     /// Requests of a pool that run now.
     #[must_use]
     pub fn running(&self, pool: &Pool) -> u32 {
@@ -314,3 +320,6 @@
             .sum()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/peer/table.rs
+++ b/src/peer/table.rs
@@ -259,6 +259,7 @@
         let mut first = DigestTable::default();
         let mut own = digest("a", 1, 1);
         own.crashes.push(Crash {
+            stage: crate::wire::CrashStage::Seen,
             age_ms: 5,
             fingerprint: String::new(),
             server: String::new(),
