Bring a sample in where it counts as long

A part ends at three times the median of the latest samples of its model, and is resumed as urgent where there is most room; while no median is known parts grow from one second. Entries state how long a part took.

--- a/scripts/rounds.sh
+++ b/scripts/rounds.sh
@@ -2,10 +2,11 @@
 # Measures rounds with three trainers on shared engines; prints the trainers' JSON.
 #
 # Usage: scripts/rounds.sh POLICY SEED [LAST_OCTETS]
-# POLICY is a `policy.rounds` of the manifest. TARGET names the build (default target/debug),
-# TRAINER further options of the trainer. LAST_OCTETS (default 9.1) sets the loopback
+# POLICY is a `policy.rounds` of the manifest. A token takes TOKEN_MS (default 10). TARGET names the build (default target/debug),
+# TRAINER further options of the trainer, KILL seconds after which one entry is killed. LAST_OCTETS (default 9.1) sets the loopback
 # address 127.77.9.1, so that runs at the same time stay apart.
 set -euo pipefail
+token=${TOKEN_MS:-10}
 policy=$1 seed=$2 ip=127.77.${3:-9.1}
 root=$(cd "$(dirname "$0")/.." && pwd)
 bin=$root/${TARGET:-target/debug}
@@ -67,20 +68,26 @@
 version = 1
 EOF
 
+entry=
 start() { "$bin/$1" "${@:2}" 2>>"$1.log" >/dev/null & pids+=($!); }
 ready() { for _ in $(seq 100); do curl -sf "$1" >/dev/null && return; sleep 0.1; done; return 1; }
-start basillead-standin platform --listen "$ip:9000" --instances instances.json --load-ms 500 \
+start basillead-standin platform --listen "$ip:9000" --instances instances.json --load-ms 500 --token-ms "$token" \
     --server engines:engine:z0:3 --server engines:engine:z1:3 --server engines:engine:z2:2
 ready "http://$ip:9000/servers"
 for n in 0 1 2; do
     start basillead-control --settings "i$n.toml"
     start basillead-entry --settings "i$n.toml"
+    [ "$n" = 0 ] && entry=${pids[-1]}
 done
 for n in 0 1 2; do ready "http://$ip:720$n/healthz"; ready "http://$ip:700$n/healthz"; done
 operate() { "$bin/basillead" "$@" --control "http://$ip:7200" --key-file operator.key; }
 operate publish manifest.toml >/dev/null
 operate key grant --tenant guild | sed -n 's/^key: //p' >guild.key
+if [ -n "${KILL:-}" ]; then
+    (sleep "$KILL"; kill -9 "$entry") &
+    pids+=($!)
+fi
 "$bin/basillead-standin" trainer --tenant guild --key-file guild.key \
-    --operator-key operator.key --manifest manifest.toml --seed "$seed" \
+    --operator-key operator.key --manifest manifest.toml --seed "$seed" --token-ms "$token" \
     --control "http://$ip:7200" --control "http://$ip:7201" --control "http://$ip:7202" \
     ${TRAINER:-} || { tail -5 ./*.log >&2; exit 1; }
--- a/src/control/rounds/board.rs
+++ b/src/control/rounds/board.rs
@@ -22,6 +22,10 @@
     pub segments: Vec<Segment>,
     /// The server that made the last of them.
     pub server: String,
+    /// Parts that made them.
+    pub parts: u32,
+    /// Milliseconds that these parts took on servers.
+    pub took: u64,
 }
 
 /// One sample to generate.
@@ -202,7 +206,7 @@
             place: chosen.place,
             attempt: place.attempt,
             oldest,
-            urgent: policy == RoundPolicy::Stragglers && !partial.tokens.is_empty(),
+            urgent: policy != RoundPolicy::Ordered && !partial.tokens.is_empty(),
             partial,
         })
     }
@@ -238,6 +242,8 @@
                 tokens: answer.tokens,
                 segments: answer.segments,
                 server: answer.server,
+                parts: work.partial.parts + 1,
+                took: work.partial.took + answer.took_ms,
             });
             return;
         }
--- a/src/control/rounds/board/tests.rs
+++ b/src/control/rounds/board/tests.rs
@@ -23,6 +23,7 @@
         done,
         segments: versions.iter().map(segment).collect(),
         server: "s".to_owned(),
+        took_ms: 1,
         tokens: versions.iter().map(u64::to_string).collect(),
     }
 }
--- a/src/control/rounds/drive.rs
+++ b/src/control/rounds/drive.rs
@@ -14,10 +14,6 @@
 use super::session::Session;
 use super::share::{Share, may_start};
 
-/// Time from a part's first token after which it is brought in and resumed.
-///
-/// It bounds what a lost entry costs, and lets a long sample move to a server with less load.
-const SLICE: Duration = Duration::from_secs(5);
 /// Longest time that one part of a sample may take, waiting included.
 const PART_MAX: Duration = Duration::from_secs(600);
 /// Time beyond a part's deadline within which the entry must answer.
@@ -69,10 +65,18 @@
 
 /// Generates one part of a sample.
 async fn generate(rounds: &Rounds, session: &Session, work: Work, policy: RoundPolicy) {
-    let request = request(session, &work, policy);
+    let slice = match policy {
+        RoundPolicy::Stragglers => rounds.slice(&session.spec.model, work.partial.parts),
+        RoundPolicy::Ordered => Duration::ZERO,
+    };
+    let request = request(session, &work, slice);
     let asked = rounds.entries.sample(&request, PART_MAX + GRACE).await;
     match asked {
         Ok(answer) if !answer.done && policy == RoundPolicy::Ordered => session.fail(work),
+        Ok(answer) if answer.done => {
+            rounds.note(&session.spec.model, work.partial.took + answer.took_ms);
+            session.finish(&work, request.id, answer);
+        }
         Ok(answer) => session.finish(&work, request.id, answer),
         Err(error) => {
             spdlog::warn!("sample failed", kv: {
@@ -86,17 +90,13 @@
     }
 }
 
-fn request(session: &Session, work: &Work, policy: RoundPolicy) -> SampleRequest {
+fn request(session: &Session, work: &Work, slice: Duration) -> SampleRequest {
     let spec = &session.spec;
     let slot = session.slot(work.place);
     let prompt = spec
         .prompts
         .get(slot.group as usize)
         .or(spec.prompts.last());
-    let slice = match policy {
-        RoundPolicy::Stragglers => SLICE,
-        RoundPolicy::Ordered => Duration::ZERO,
-    };
     SampleRequest {
         avoid: Vec::new(),
         deadline_ms: unix_ms() + millis(PART_MAX),
--- a/src/control/rounds/mod.rs
+++ b/src/control/rounds/mod.rs
@@ -10,6 +10,7 @@
 mod drive;
 mod entries;
 mod order;
+mod pace;
 mod serve;
 mod session;
 mod share;
@@ -32,6 +33,7 @@
 use crate::wire::{BackendServer, ServerState};
 
 use entries::Entries;
+use pace::Pace;
 use session::Session;
 
 pub(super) use serve::{close, open, pull};
@@ -52,6 +54,8 @@
     servers: HttpServers,
     sessions: Mutex<BTreeMap<String, Arc<Session>>>,
     running: Arc<AtomicUsize>,
+    /// How long samples take, by model.
+    paces: Mutex<BTreeMap<String, Pace>>,
     /// Backend servers that run, by pool.
     pools: ArcSwap<BTreeMap<Pool, usize>>,
     runtime: tokio::runtime::Handle,
@@ -84,6 +88,7 @@
             servers: HttpServers::new(client, &settings.platform.servers),
             sessions: Mutex::default(),
             running: Arc::default(),
+            paces: Mutex::default(),
             pools: ArcSwap::default(),
             runtime: tokio::runtime::Handle::current(),
         }
@@ -184,8 +189,22 @@
         };
         let slots = state.manifest.pools.get(&model.pool);
         let slots = slots.map_or(1, |pool| usize::try_from(pool.slots).unwrap_or(1));
-        let servers = self.pools.load().get(&model.pool).copied();
-        slots * servers.unwrap_or(0)
+        let servers = self.pools.load().get(&model.pool).copied().unwrap_or(0);
+        slots * servers
+    }
+
+    /// Time for the part of a sample that has had `parts` before.
+    fn slice(&self, model: &str, parts: u32) -> Duration {
+        let paces = self.paces.lock();
+        let pace = paces.get(model).cloned().unwrap_or_default();
+        pace.slice(parts)
+    }
+
+    /// Notes the milliseconds that a whole sample took on servers.
+    fn note(&self, model: &str, took: u64) {
+        let mut paces = self.paces.lock();
+        let pace = paces.entry(model.to_owned()).or_default();
+        pace.note(Duration::from_millis(took));
     }
 }
 
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 
 use crate::http::{Refusal, RefusalKind, Response, json};
-use crate::util::instant_of;
+use crate::util::{instant_of, millis};
 use crate::wire::{EngineChunk, SampleAnswer, SampleRequest};
 
 use super::Entry;
@@ -65,9 +65,11 @@
         entered: &mut entered,
         tally: &mut tally,
         held,
+        first: None,
     };
     let slice = Duration::from_millis(request.slice_ms);
     let done = work.run(slice).await?;
+    let took = work.first.map_or(Duration::ZERO, |first| first.elapsed());
     for segment in generation.segments() {
         super::generate::add_segment(&mut segments, segment.version, segment.tokens);
     }
@@ -77,6 +79,7 @@
         segments,
         done,
         server: server.unwrap_or_default(),
+        took_ms: millis(took),
     };
     Ok(json(StatusCode::OK, &answer))
 }
@@ -88,6 +91,8 @@
     tally: &'a mut Tally,
     /// Tokens that were held at the start.
     held: usize,
+    /// When the first chunk came.
+    first: Option<Instant>,
 }
 
 impl Work<'_> {
@@ -96,10 +101,11 @@
     /// A part goes back when no server could go on, when its slice of time from its first
     /// chunk on is over (a slice of zero has no end), or when live work needs the place.
     async fn run(&mut self, slice: Duration) -> Result<bool, Refusal> {
-        let mut until: Option<Instant> = None;
         loop {
-            match self.next(until).await {
+            let until = self.first.map(|first| first + slice);
+            match self.next(until.filter(|_| !slice.is_zero())).await {
                 Some(Ok(chunk)) => {
+                    self.first.get_or_insert_with(Instant::now);
                     self.count(chunk.tokens.len());
                     if chunk.done {
                         return Ok(true);
@@ -108,9 +114,6 @@
                 Some(Err(refusal)) if self.made() == 0 => return Err(refusal),
                 Some(Err(_)) | None => return Ok(false),
             }
-            if !slice.is_zero() {
-                until.get_or_insert_with(|| Instant::now() + slice);
-            }
         }
     }
 
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -820,6 +820,8 @@
     pub segments: ::std::vec::Vec<Segment>,
     pub server: ::std::string::String,
     pub tokens: ::std::vec::Vec<::std::string::String>,
+    #[doc = "Milliseconds from the first token of this part to its end."]
+    pub took_ms: u64,
 }
 #[doc = "A control daemon asks an entry for one sample."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
