--- a/src/edge/http_platform.rs
+++ b/src/edge/http_platform.rs
@@ -54,12 +54,12 @@
         &self,
         path: &str,
         body: &impl Serialize,
-        held: Held,
+        client: FencedClient,
     ) -> EdgeResult<T> {
         let url = &self.url;
         let body = serde_json::to_string(body).context(MalformedSnafu { url })?;
         let (url, request) = self.request(Method::POST, path, body)?;
-        let answer = FencedClient::new(held).send(request).await;
+        let answer = client.send(request).await;
         parse(&url, &answer.context(FencedSnafu { url: &url })?)
     }
 
@@ -179,7 +179,11 @@
     }
 
     fn order(&self, order: Order, held: Held) -> BoxFuture<'_, EdgeResult<OrderResult>> {
-        async move { self.0.post("/orders", &order, held).await }.boxed()
+        async move {
+            let client = FencedClient::new(held, "order-connected");
+            self.0.post("/orders", &order, client).await
+        }
+        .boxed()
     }
 }
 
@@ -198,7 +202,8 @@
 impl UsageSink for HttpUsage {
     fn report(&self, report: UsageReport, held: Held) -> BoxFuture<'_, EdgeResult<()>> {
         async move {
-            let _: serde_json::Value = self.0.post("", &report, held).await?;
+            let client = FencedClient::new(held, "usage-connected");
+            let _: serde_json::Value = self.0.post("", &report, client).await?;
             Ok(())
         }
         .boxed()
--- a/src/manifest/mod.rs
+++ b/src/manifest/mod.rs
@@ -20,6 +20,8 @@
     pub weights: WeightLimits,
     /// Length of a usage window in seconds.
     pub window: u64,
+    /// What requests are judged by.
+    pub objective: Objective,
     /// Tenants by name.
     pub tenants: BTreeMap<Tenant, TenantSpec>,
     /// Pools by name.
@@ -63,6 +65,30 @@
     }
 }
 
+/// What requests are judged by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Objective {
+    /// Bad requests allowed in a million.
+    pub bad: u64,
+    /// Milliseconds to the first answer after which a request is slow.
+    pub first: u64,
+    /// Seconds of the short range.
+    pub short: u64,
+    /// Seconds of the long range.
+    pub long: u64,
+}
+
+impl Default for Objective {
+    fn default() -> Self {
+        Self {
+            bad: 1_000,
+            first: 2_000,
+            short: 300,
+            long: 3_600,
+        }
+    }
+}
+
 /// Choices between policies; each has its simplest form as a baseline.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Policy {
@@ -72,6 +98,16 @@
     pub queue: QueuePolicy,
     /// How the samples of a round are ordered and carried over.
     pub rounds: RoundPolicy,
+    /// When a request that cannot run in time is refused.
+    pub refusal: RefusalPolicy,
+    /// How many attempts are made beyond the first ones.
+    pub retries: RetryPolicy,
+    /// What becomes of failing backend servers.
+    pub ejection: EjectionPolicy,
+    /// What becomes of requests that crash backend servers.
+    pub poison: PoisonPolicy,
+    /// Backend servers of a pool that one entry works with; 0 for all.
+    pub subset: usize,
 }
 
 /// How the samples of a round are ordered and carried over.
@@ -84,6 +120,46 @@
     Ordered,
 }
 
+/// When a request that cannot run in time is refused.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RefusalPolicy {
+    /// As soon as its answer would come after its deadline.
+    #[default]
+    Early,
+    /// Only when the queue is full or the deadline has passed.
+    Late,
+}
+
+/// How many attempts are made beyond the first ones.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RetryPolicy {
+    /// A small share of the first ones.
+    #[default]
+    Budget,
+    /// As many as each request may make.
+    Unlimited,
+}
+
+/// What becomes of failing backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EjectionPolicy {
+    /// They are left out and return slowly.
+    #[default]
+    Slow,
+    /// They keep getting work.
+    Never,
+}
+
+/// What becomes of requests that crash backend servers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PoisonPolicy {
+    /// They run alone and are then refused.
+    #[default]
+    Contain,
+    /// They run like all others.
+    Ignore,
+}
+
 /// How a backend server is chosen.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ChoicePolicy {
