Prove that tenants and their answers stay apart

Tests: an idempotency key of one tenant never gets another's kept answer; the keys of a tenant that a manifest removes stop working; chunks of another answer never reach a caller.

--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod rounds;
 mod slope;
 mod stop;
+mod tenant;
 mod trainer;
 mod usage;
 mod weights;
--- a/tests/suite/path.rs
+++ b/tests/suite/path.rs
@@ -44,7 +44,7 @@
 }
 
 /// The id and the text of a streamed answer, which must end with `[DONE]`.
-fn streamed_text(body: &[u8]) -> (String, String) {
+pub fn streamed_text(body: &[u8]) -> (String, String) {
     let text = String::from_utf8_lossy(body);
     let mut id = String::new();
     let mut whole = String::new();
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -458,7 +458,12 @@
 impl Small {
     /// Starts everything and waits until the key works.
     pub fn start(dir: &Workdir) -> Self {
-        let platform = dir.platform(1, 1, &SMALL_SERVERS);
+        Self::start_with(dir, &SMALL_SERVERS)
+    }
+
+    /// Starts everything with these servers and waits until the key works.
+    pub fn start_with(dir: &Workdir, servers: &[&str]) -> Self {
+        let platform = dir.platform(1, 1, servers);
         let control = dir.control(0, 1);
         let entry = dir.entry(0, 1);
         dir.publish(MANIFEST);
