--- a/src/failpoint.rs
+++ b/src/failpoint.rs
@@ -1,7 +1,8 @@
 //! Named points at which tests pause or abort a process; nothing without the feature.
 //!
 //! The environment variable `FAILPOINTS` says what happens, as in
-//! `usage-before-report=1*return(2000)` (a pause in milliseconds) or `usage-after-close=1*return(abort)`.
+//! `usage-before-report=1*return(pause 2000)`, in milliseconds, or
+//! `usage-after-close=1*return(abort)`.
 
 /// Reads `FAILPOINTS`, for as long as the process runs.
 #[cfg(feature = "failpoints")]
@@ -14,6 +15,9 @@
 pub fn setup() {}
 
 /// Pauses or aborts at a point, if it is set up to.
+///
+/// # Panics
+/// An action that is neither would let a test pass without its fault.
 #[cfg(feature = "failpoints")]
 pub async fn reach(point: &'static str) {
     let Some(action) = fail::eval(point, Option::unwrap_or_default) else {
@@ -23,8 +27,9 @@
     if action == "abort" {
         std::process::abort();
     }
-    let pause = std::time::Duration::from_millis(action.parse().unwrap_or_default());
-    tokio::time::sleep(pause).await;
+    let pause = action.strip_prefix("pause ").and_then(|ms| ms.parse().ok());
+    let pause = pause.expect("a failpoint's action is `abort` or `pause MS`");
+    tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
 }
 
 /// Does nothing.
--- a/tests/suite/usage.rs
+++ b/tests/suite/usage.rs
@@ -230,7 +230,7 @@
 #[test]
 fn usage_holder_frozen_before_report() {
     let dir = Workdir::new("usage");
-    let cluster = Cluster::start(&dir, 2, "usage-before-report=2*off->1*return(500)");
+    let cluster = Cluster::start(&dir, 2, "usage-before-report=2*off->1*return(pause 500)");
     let mut holder = None;
     wait_until("a holder is about to report", || {
         assert!(cluster.complete(0, 5));
