Give the servers' role up when its holder cannot order

Cause: a holder that reaches the log but not the server interface kept the role, and nobody ordered. After 10 s without a round that works it releases the role and leaves it to others for 20 s.

A claim that was given up is never used again. Schedules are 25 s long now with more faults each; the bound on orders is the same for each second.

--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Meter;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -86,6 +88,37 @@
         Some(LeaseGuard { held, _work: work })
     }
 
+    /// Leaves a role to others for a while, because this process cannot do its work.
+    ///
+    /// The caller has no work of the role on its way.
+    pub fn rest(&self, role: Role, until: Instant) {
+        self.state.lock().roles.rest(role, until);
+        spdlog::warn!("lease given up", kv: { role = role.to_string() });
+        self.changed.notify_one();
+    }
+
+    /// Adds gauges of the leases to a meter.
+    pub fn observe(self: &Arc<Self>, meter: &Meter) {
+        let leases = Arc::clone(self);
+        let held = meter
+            .u64_observable_gauge("basillead_lease_held")
+            .with_description("Whether this process holds the lease of a role.");
+        held.with_callback(move |gauge| {
+            for role in ROLES {
+                let held = u64::from(leases.held(role).is_some());
+                gauge.observe(held, &[KeyValue::new("role", role.to_string())]);
+            }
+        })
+        .build();
+        let leases = Arc::clone(self);
+        let known = meter
+            .u64_observable_gauge("basillead_lease_known")
+            .with_description("Whether this process has read the lease stream to its head.");
+        known
+            .with_callback(move |gauge| gauge.observe(u64::from(leases.is_known()), &[]))
+            .build();
+    }
+
     /// All leases that this process may use now.
     #[must_use]
     pub fn all(&self) -> Vec<LeaseHeld> {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -66,6 +66,7 @@
         );
         let leases = Arc::new(leases);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        leases.observe(&metrics.meter());
         let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
         let usage = usage::UsageWindows::new(
             log.clone(),
--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -33,10 +33,17 @@
 /// Time within which a mark must be folded.
 const MARK: Duration = Duration::from_secs(3);
 
+/// Time without a round that works after which the role is given up.
+const STUCK: Duration = Duration::from_secs(10);
+/// Time for which a role that was given up is left to others.
+const REST: Duration = Duration::from_secs(20);
+
 /// What one holder knows; it starts anew with each claim.
 #[derive(Debug, Default)]
 struct Reign {
     claim: u64,
+    /// Since when no round has worked.
+    stuck: Option<Instant>,
     memory: PlanMemory,
     drains: Drains,
     lacking: BTreeMap<(Pool, Zone), Instant>,
@@ -99,15 +106,29 @@
             }
             let Some(reign) = &mut reign else { continue };
             match self.round(reign, &mut fold).await {
-                Ok(()) => backoff.reset(),
+                Ok(()) => {
+                    reign.stuck = None;
+                    backoff.reset();
+                }
                 Err(error) => {
                     spdlog::warn!("orders held up", kv: { error = error.to_string() });
+                    self.check_stuck(reign, Instant::now());
+                    drop(guard);
                     backoff.pause().await;
                 }
             }
         }
     }
 
+    /// Gives the role up when nothing has worked for a while: others may do better.
+    fn check_stuck(&self, reign: &mut Reign, now: Instant) {
+        let since = *reign.stuck.get_or_insert(now);
+        if now >= since + STUCK {
+            reign.stuck = None;
+            self.leases.rest(Role::Servers, now + REST);
+        }
+    }
+
     /// Resolves open intents, then plans and carries the plan out.
     async fn round(&self, reign: &mut Reign, fold: &mut OrderFold) -> EdgeResult<()> {
         self.catch_up(fold).await?;
--- a/src/lease/mod.rs
+++ b/src/lease/mod.rs
@@ -74,6 +74,10 @@
     renewed: Option<Instant>,
     sent: VecDeque<Sent>,
     leaving: bool,
+    /// Until when the lease is left to others.
+    resting: Option<Instant>,
+    /// The claim that was given up: its release may still land, so it is never used again.
+    given_up: Option<u64>,
 }
 
 impl Candidate {
@@ -89,6 +93,8 @@
             renewed: None,
             sent: VecDeque::new(),
             leaving: false,
+            resting: None,
+            given_up: None,
         }
     }
 
@@ -98,6 +104,13 @@
         self.held.filter(|held| now < held.deadline)
     }
 
+    /// Whether the log has this process as the holder, in time or not.
+    #[must_use]
+    pub fn is_holder(&self) -> bool {
+        let seen = self.seen.as_ref();
+        seen.is_some_and(|seen| self.is_own(&seen.lease))
+    }
+
     /// Takes note of a record that counted and was received at `received`.
     pub fn observe(&mut self, change: &LeaseChange, lease: &Lease, received: Instant) {
         self.seen = Some(Seen {
@@ -113,7 +126,7 @@
         let Some(at) = sent.map(|sent| sent.at) else {
             return;
         };
-        if self.leaving {
+        if self.leaving || self.resting.is_some() {
             return;
         }
         // A renewal that was sent earlier may be confirmed later.
@@ -139,6 +152,15 @@
         self.held = None;
     }
 
+    /// Releases the lease and claims no more until `until`, when nothing is on its way.
+    pub fn rest(&mut self, until: Instant) {
+        let own = self.seen.as_ref().filter(|seen| self.is_own(&seen.lease));
+        self.given_up = own.map(|seen| seen.lease.claim).or(self.given_up);
+        self.resting = Some(until);
+        self.held = None;
+        self.renewed = None;
+    }
+
     /// The release to append when leaving, if this process still has the lease.
     #[must_use]
     pub fn release(&self) -> Option<LeaseRecord> {
@@ -159,6 +181,7 @@
         if self.leaving {
             return Step::Wait(now + LEASE);
         }
+        self.resting = self.resting.filter(|until| now < *until);
         let due = self.due(now);
         if now < due {
             return Step::Wait(due);
@@ -178,8 +201,12 @@
     fn due(&self, now: Instant) -> Instant {
         let retry = self.sent.back().map_or(now, |sent| sent.at + RETRY);
         let Some(seen) = &self.seen else {
-            return retry;
+            return self.resting.unwrap_or(retry);
         };
+        if let Some(until) = self.resting {
+            let is_open = self.is_given_up(&seen.lease) && !seen.lease.released;
+            return if is_open { retry } else { until };
+        }
         if self.is_own(&seen.lease) {
             return self.renewed.map_or(now, |at| at + RENEW).max(retry);
         }
@@ -191,6 +218,13 @@
 
     fn body(&self) -> LeaseBody {
         let lease = self.seen.as_ref().map(|seen| &seen.lease);
+        let given_up = lease.filter(|lease| self.is_given_up(lease));
+        if let Some(given_up) = given_up.filter(|_| self.resting.is_some()) {
+            return LeaseBody::Release {
+                claim: given_up.claim,
+                role: self.role,
+            };
+        }
         match lease.filter(|lease| self.is_own(lease)) {
             Some(own) => LeaseBody::Renew {
                 claim: own.claim,
@@ -205,7 +239,11 @@
     }
 
     fn is_own(&self, lease: &Lease) -> bool {
-        lease.holder == self.holder && !lease.released
+        lease.holder == self.holder && !lease.released && !self.is_given_up(lease)
+    }
+
+    fn is_given_up(&self, lease: &Lease) -> bool {
+        self.given_up == Some(lease.claim)
     }
 }
 
--- a/src/lease/roles.rs
+++ b/src/lease/roles.rs
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Leaves a role to others until `until`; nothing may be on its way.
+    pub fn rest(&mut self, role: Role, until: Instant) {
+        if let Some(candidate) = self.candidates.get_mut(&role) {
+            candidate.rest(until);
+        }
+    }
+
     /// The release of a role to append when leaving.
     #[must_use]
     pub fn release(&self, role: Role) -> Option<LeaseRecord> {
@@ -124,7 +131,7 @@
             return due;
         }
         for (role, candidate) in &mut self.candidates {
-            if !eligible(*role) && candidate.held(now).is_none() {
+            if !eligible(*role) && !candidate.is_holder() {
                 continue;
             }
             match candidate.step(now) {
--- a/src/lease/schedule.rs
+++ b/src/lease/schedule.rs
@@ -16,7 +16,7 @@
 const THREADS: u64 = 4;
 const PROCESSES: usize = 3;
 /// Length of one schedule and of one step, in milliseconds of true time.
-const LENGTH: u64 = 40_000;
+const LENGTH: u64 = 25_000;
 const TICK: u64 = 50;
 /// Time for which the kernel may still deliver bytes of an order.
 const DELIVERY: u64 = 500;
@@ -50,6 +50,8 @@
     /// Records that wait for the process to thaw before they are sent.
     unsent: VecDeque<String>,
     leaving: Option<u64>,
+    /// When the orders that are on their way will have arrived, before a rest.
+    quiet: Option<u64>,
     until: Instant,
 }
 
@@ -69,6 +71,7 @@
             read: None,
             unsent: VecDeque::new(),
             leaving: None,
+            quiet: None,
             until: base,
         }
     }
@@ -89,6 +92,7 @@
         self.read(world, rng);
         let now = self.clock(world.now);
         if let Some(held) = self.roles.held(Role::Servers, now)
+            && self.quiet.is_none()
             && rng.random_bool(0.3)
         {
             world.sent.push(Sent {
@@ -97,9 +101,24 @@
             });
         }
         self.decide(world.now, now, rng);
+        self.rest(world.now, now, rng);
         self.leave(world, rng);
     }
 
+    /// Gives the role up for a while, once nothing is on its way.
+    fn rest(&mut self, true_now: u64, now: Instant, rng: &mut StdRng) {
+        match self.quiet {
+            None if rng.random_bool(0.000_8) => self.quiet = Some(true_now + DELIVERY),
+            Some(at) if true_now > at => {
+                self.quiet = None;
+                let rest = Duration::from_millis(rng.random_range(0..8_000));
+                self.roles.rest(Role::Servers, now + rest);
+                self.until = now;
+            }
+            _ => {}
+        }
+    }
+
     fn read(&mut self, world: &World, rng: &mut StdRng) {
         let done = self.read.take_if(|(at, _)| *at <= world.now);
         if let Some((_, page)) = done {
@@ -148,7 +167,7 @@
     /// A shutdown: no more use, then the release once nothing is on its way.
     fn leave(&mut self, world: &mut World, rng: &mut StdRng) {
         match self.leaving {
-            None if rng.random_bool(0.000_5) => {
+            None if rng.random_bool(0.000_8) => {
                 self.roles.leave();
                 self.leaving = Some(world.now + DELIVERY);
             }
@@ -187,10 +206,10 @@
             let (at, text) = self.coming.remove(0);
             self.records.push((at, text));
         }
-        if rng.random_bool(0.000_5) {
+        if rng.random_bool(0.000_8) {
             self.down = self.now + rng.random_range(0..20_000);
         }
-        if rng.random_bool(0.002) {
+        if rng.random_bool(0.003) {
             // Only the newest snapshot and what follows it is sure to stay.
             let is_snapshot = |(_, text): &(u64, String)| text.contains("\"snapshot\"");
             let last = self.records.iter().rposition(is_snapshot).unwrap_or(0);
@@ -262,13 +281,13 @@
     while world.now < LENGTH {
         world.tick(&mut rng);
         for process in &mut processes {
-            if rng.random_bool(0.002) {
+            if rng.random_bool(0.003) {
                 process.frozen = world.now + rng.random_range(0..15_000);
             }
-            if rng.random_bool(0.002) {
+            if rng.random_bool(0.003) {
                 process.cut = world.now + rng.random_range(0..15_000);
             }
-            if rng.random_bool(0.000_5) {
+            if rng.random_bool(0.000_8) {
                 *process = Process::new(&mut rng, base);
             }
             process.step(&mut world, &mut rng);
@@ -309,6 +328,10 @@
         total.0, total.1
     );
     // The schedules prove nothing if nobody holds or takes over.
-    assert!(total.0 > SCHEDULES * 100, "few orders: {}", total.0);
+    assert!(
+        total.0 > SCHEDULES * LENGTH / 400,
+        "few orders: {}",
+        total.0
+    );
     assert!(total.1 > SCHEDULES * 3 / 2, "few claims: {}", total.1);
 }
--- a/tests/suite/orders.rs
+++ b/tests/suite/orders.rs
@@ -37,9 +37,17 @@
     Freeze,
     /// It is cut off from the log until a successor has acted.
     CutOff,
+    /// It is cut off from the backend server interface until a successor has acted.
+    NoServers,
 }
 
-const FAULTS: [Fault; 4] = [Fault::Kill, Fault::KillLossy, Fault::Freeze, Fault::CutOff];
+const FAULTS: [Fault; 5] = [
+    Fault::Kill,
+    Fault::KillLossy,
+    Fault::Freeze,
+    Fault::CutOff,
+    Fault::NoServers,
+];
 
 impl Fault {
     fn strike(self, dir: &Workdir, holder: &mut Process) {
@@ -51,7 +59,8 @@
                 holder.0.kill().expect("it can be killed");
             }
             Self::Freeze => holder.signal("STOP"),
-            Self::CutOff => cut_off(dir, true),
+            Self::CutOff => cut_off(dir, "log", true),
+            Self::NoServers => cut_off(dir, "servers", true),
         }
     }
 
@@ -60,15 +69,16 @@
         match self {
             Self::Kill | Self::KillLossy => return false,
             Self::Freeze => holder.signal("CONT"),
-            Self::CutOff => cut_off(dir, false),
+            Self::CutOff => cut_off(dir, "log", false),
+            Self::NoServers => cut_off(dir, "servers", false),
         }
         true
     }
 }
 
-/// Cuts instance 0 off from the log, or lets it reach the log again.
-fn cut_off(dir: &Workdir, down: bool) {
-    let cut = json!({"interface": "log", "instance": "i0", "faults": {"down": down}});
+/// Cuts instance 0 off from an interface, or lets it reach the interface again.
+fn cut_off(dir: &Workdir, interface: &str, down: bool) {
+    let cut = json!({"interface": interface, "instance": "i0", "faults": {"down": down}});
     dir.platform_post("fault", &cut);
 }
 
