--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The control daemon: the operators' and the platform's side.
 
+mod burn;
 pub mod leases;
 mod operator;
 pub mod orders;
@@ -8,6 +9,7 @@
 mod serve;
 mod snapshot;
 pub mod usage;
+mod weights;
 mod withdraw;
 
 use std::sync::Arc;
@@ -24,6 +26,7 @@
 use crate::wire::Daemon;
 
 use rounds::Rounds;
+use weights::Weights;
 
 /// Time within which calls must end when the daemon leaves; a pull waits up to 30 s.
 const FINISH: Duration = Duration::from_secs(35);
@@ -114,8 +117,8 @@
     /// The address cannot be bound.
     pub async fn run(self) -> std::io::Result<()> {
         let control = Arc::new(self);
-        let config = Arc::clone(&control.config);
-        tokio::spawn(async move { config.follow().await });
+        let state = Arc::clone(&control);
+        tokio::spawn(async move { state.config.follow(|| state.peers.reads_log()).await });
         control.peers.run().await?;
         tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
         let leases = Arc::clone(&control.leases);
@@ -137,6 +140,16 @@
         );
         let rounds = Arc::new(rounds);
         tokio::spawn(Arc::clone(&rounds).follow());
+        tokio::spawn(Arc::clone(&rounds).leave(control.drain.watch()));
+        let weights = Weights::new(
+            Arc::clone(&control.config),
+            Arc::clone(&control.peers),
+            Arc::clone(&control.leases),
+            control.servers.clone(),
+            &control.client,
+            &control.metrics.meter(),
+        );
+        tokio::spawn(weights.run());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
             serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
--- a/src/control/rounds/mod.rs
+++ b/src/control/rounds/mod.rs
@@ -21,8 +21,9 @@
 
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
+use tokio::sync::watch;
 
-use crate::edge::{HttpInstances, HttpServers, Servers};
+use crate::edge::{HttpServers, Servers};
 use crate::http::Client;
 use crate::log::ConfigLog;
 use crate::names::Pool;
@@ -74,13 +75,12 @@
         config: Arc<ConfigLog>,
         peers: Arc<Peers>,
     ) -> Self {
-        let instances = HttpInstances::new(client, &settings.platform.instances);
         let own = settings.entry.http.to_string();
         let secret = settings.peer_secret.clone();
         Self {
             config,
+            entries: Entries::new(client.clone(), Arc::clone(&peers), secret, own),
             peers,
-            entries: Entries::new(client.clone(), Arc::new(instances), secret, own),
             servers: HttpServers::new(client, &settings.platform.servers),
             sessions: Mutex::default(),
             running: Arc::default(),
@@ -89,10 +89,8 @@
         }
     }
 
-    /// Follows the instances, the backend servers and the sessions' ends for ever.
+    /// Follows the backend servers and the sessions' ends for ever.
     pub async fn follow(self: Arc<Self>) {
-        let rounds = Arc::clone(&self);
-        tokio::spawn(async move { rounds.entries.follow().await });
         loop {
             if let Ok(list) = self.servers.list().await {
                 self.pools.store(Arc::new(count_running(&list.servers)));
@@ -102,6 +100,17 @@
         }
     }
 
+    /// Closes all sessions once this daemon is leaving, so that no pull holds it up.
+    ///
+    /// Waiting pulls get what is ready; their trainers go on at another daemon.
+    pub async fn leave(self: Arc<Self>, mut leaving: watch::Receiver<bool>) {
+        // An error means that the daemon is gone already.
+        let _ = leaving.wait_for(|leaving| *leaving).await;
+        for session in self.sessions.lock().values() {
+            session.close();
+        }
+    }
+
     /// Closes sessions that are idle, or whose round or key is no longer in force.
     fn drop_ended(&self, now: Instant) {
         let state = self.config.state();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,8 +7,10 @@
 mod admit;
 mod api;
 mod auth;
+mod burn;
 mod choose;
 mod drain;
+mod eject;
 mod engine;
 mod enter;
 mod fair;
@@ -21,11 +23,19 @@
 mod once;
 mod others;
 mod path;
+mod place;
 mod plain;
+mod poison;
+pub mod prefix;
+mod report;
+mod retry;
 mod sample;
 mod serve;
 mod servers;
+mod share;
 mod stream;
+mod subset;
+mod suspect;
 mod usage;
 
 use std::sync::Arc;
@@ -44,6 +54,7 @@
 use crate::wire::Daemon;
 
 pub(crate) use auth::bearer;
+pub use burn::BurnTable;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
 pub use usage::{ADOPT_AFTER, UsageBatch, UsageCopies, UsageCounters};
@@ -63,12 +74,15 @@
     hold: drain::HoldBound,
     servers: ServerTable,
     log: Arc<HttpLog>,
+    burn: BurnTable,
     usage: UsageCounters,
     copies: UsageCopies,
     appends: tokio::sync::Mutex<usage::AppendState>,
     usage_metrics: usage::UsageMetrics,
     admission: admit::Admission,
     limits: limit::Limits,
+    retries: retry::RetryBudget,
+    suspects: Arc<suspect::Suspects>,
     others: ArcSwap<others::Others>,
     client: Client,
     metrics: Metrics,
@@ -108,12 +122,15 @@
             hold: drain::HoldBound::default(),
             log,
             servers: ServerTable::new(Arc::new(marked)),
+            burn: BurnTable::default(),
             usage: UsageCounters::default(),
             copies: UsageCopies::default(),
             appends: tokio::sync::Mutex::default(),
             usage_metrics: usage::UsageMetrics::new(&metrics.meter()),
             admission: admit::Admission::default(),
             limits: limit::Limits::default(),
+            retries: retry::RetryBudget::default(),
+            suspects: Arc::default(),
             others: ArcSwap::default(),
             counts: metrics::EntryMetrics::new(&metrics.meter()),
             metrics,
@@ -160,7 +177,7 @@
 }
 
 async fn follow_config(entry: Arc<Entry>) {
-    entry.config.follow().await;
+    entry.config.follow(|| entry.peers.reads_log()).await;
 }
 
 async fn follow_servers(entry: Arc<Entry>) {
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 #![cfg(feature = "standin")]
 
 mod bad_input;
+mod burn;
 mod check;
 mod config_log;
 mod drain;
@@ -12,8 +13,11 @@
 mod orders;
 mod path;
 mod peers;
+mod readers;
 mod rounds;
+mod slope;
 mod stop;
 mod trainer;
 mod usage;
+mod weights;
 mod workdir;
