--- a/src/entry/poison.rs
+++ b/src/entry/poison.rs
@@ -82,13 +82,16 @@
 #[derive(Debug, Default)]
 pub struct CrashTable {
     crashes: BTreeMap<(Fingerprint, ServerId), Crash>,
+    /// When requests ran to their end; crashes before that no longer count.
+    absolved: BTreeMap<Fingerprint, Instant>,
 }
 
 impl CrashTable {
     /// Notes a crash. A crash that is known already counts once.
     pub fn note(&mut self, crash: &Crash, now: Instant) {
         self.expire(now);
-        if self.crashes.len() >= CRASHES_MAX {
+        let absolved = self.absolved.get(&crash.fingerprint);
+        if self.crashes.len() >= CRASHES_MAX || absolved.is_some_and(|at| crash.at <= *at) {
             return;
         }
         let key = (crash.fingerprint.clone(), crash.server.clone());
@@ -104,10 +107,13 @@
 
     fn expire(&mut self, now: Instant) {
         self.crashes.retain(|_, crash| crash.counts(now));
+        let counts = |at: &Instant| now.saturating_duration_since(*at) < COUNTED;
+        self.absolved.retain(|_, at| counts(at));
     }
 
     /// Forgets what is known of a request that ran to its end.
-    pub fn absolve(&mut self, fingerprint: &Fingerprint) {
+    pub fn absolve(&mut self, fingerprint: &Fingerprint, now: Instant) {
+        self.absolved.insert(fingerprint.clone(), now);
         self.crashes.retain(|(known, _), _| known != fingerprint);
     }
 
@@ -207,6 +213,19 @@
         );
     }
 
+    #[test]
+    fn absolve_outlives_late_news() {
+        let now = Instant::now();
+        let request = Fingerprint::of(&["a"]);
+        let mut table = table(&[("s1", false)], now);
+        table.absolve(&request, now);
+        table.note(&crash("s1", false, now), now);
+        assert_eq!(table.clearance(&request, 0, now), Clearance::Clear);
+        let later = now + Duration::from_secs(1);
+        table.note(&crash("s2", false, later), later);
+        assert_eq!(table.clearance(&request, 0, later), Clearance::Suspect);
+    }
+
     #[test]
     fn fingerprint_tells_parts_apart() {
         assert_ne!(Fingerprint::of(&["ab", "c"]), Fingerprint::of(&["a", "bc"]));
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -82,7 +82,7 @@
     pub pool: &'a Pool,
     /// The model, if one is needed.
     pub model: Option<&'a Model>,
-    /// The weight version, if a certain one is needed.
+    /// The oldest weight version that will do, if not all do.
     pub version: Option<u64>,
     /// Servers that were tried already.
     pub avoid: &'a [ServerId],
@@ -276,7 +276,7 @@
         let model = need
             .model
             .is_none_or(|model| model.as_str() == report.model);
-        model && need.version.is_none_or(|version| version == report.version)
+        model && need.version.is_none_or(|oldest| oldest <= report.version)
     }
 }
 
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -1,10 +1,146 @@
-//! Shares this entry's work with its peers, and takes over theirs.
+//! Shares this entry's work with its peers, and takes over what they tell of theirs.
 
-use std::time::Instant;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::names::{ServerId, Tenant};
+use crate::peer::{OwnCrash, PeerDigest};
+use crate::wire::{CrashStage, Daemon, ServerLoad, TenantDemand};
 
 use super::Entry;
+use super::others::Others;
+use super::poison::{Crash, Fingerprint};
+use super::report::weight;
+use super::suspect::Trial;
 
-/// Tells the peers at once.
+/// Tells the peers this entry's work; crashes and trials go out at once.
 pub(super) fn tell(entry: &Entry, now: Instant) {
-    let _ = (entry.suspects.told(), now);
+    let loads = loads(entry, now);
+    let demand = demand(entry, now);
+    let crashes = crashes(entry);
+    entry.peers.update(|own| {
+        own.loads = loads;
+        own.demand = demand;
+        own.crashes = crashes;
+    });
+}
+
+fn loads(entry: &Entry, now: Instant) -> Vec<ServerLoad> {
+    let mut loads = Vec::new();
+    for server in entry.servers.all().iter() {
+        let (inflight, suspect) = (server.own(), server.is_ejected(now));
+        if inflight > 0 || suspect {
+            loads.push(ServerLoad {
+                inflight,
+                server: server.id.to_string(),
+                suspect,
+            });
+        }
+    }
+    loads
+}
+
+fn demand(entry: &Entry, now: Instant) -> Vec<TenantDemand> {
+    let demand = entry.limits.demand(now);
+    let told = |(tenant, tokens): (Tenant, f64)| TenantDemand {
+        tenant: tenant.to_string(),
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a positive rate far below 2^52"
+        )]
+        tokens: tokens as u64,
+    };
+    demand.into_iter().map(told).collect()
+}
+
+fn crashes(entry: &Entry) -> Vec<OwnCrash> {
+    let (seen, trials) = entry.suspects.told();
+    let mut crashes = Vec::with_capacity(seen.len() + trials.len());
+    for crash in seen {
+        crashes.push(OwnCrash {
+            fingerprint: crash.fingerprint.to_string(),
+            server: crash.server.to_string(),
+            at: crash.at,
+            stage: if crash.alone {
+                CrashStage::Alone
+            } else {
+                CrashStage::Seen
+            },
+        });
+    }
+    for trial in trials {
+        crashes.push(OwnCrash {
+            fingerprint: trial.fingerprint.to_string(),
+            server: trial.server.to_string(),
+            at: trial.begun,
+            stage: if trial.alone {
+                CrashStage::TrialAlone
+            } else {
+                CrashStage::Trial
+            },
+        });
+    }
+    crashes
+}
+
+/// Takes over what the other entries tell.
+pub(super) fn hear(entry: &Entry, now: Instant) {
+    let mut others = Others::default();
+    for peer in entry.peers.digests() {
+        let own = peer.digest.incarnation == entry.incarnation.as_str();
+        if peer.digest.daemon == Daemon::Entry && !own {
+            others.heard += u32::from(!peer.digest.leaving);
+            add_work(&mut others, &peer, now);
+            add_crashes(entry, &mut others, &peer, now);
+        }
+    }
+    entry.others.store(others.into());
+}
+
+fn add_work(others: &mut Others, peer: &PeerDigest, now: Instant) {
+    let weight = weight(now.saturating_duration_since(peer.made));
+    for load in &peer.digest.loads {
+        let id = ServerId::from(load.server.as_str());
+        *others.inflight.entry(id).or_default() += f64::from(load.inflight) * weight;
+    }
+    for demand in &peer.digest.demand {
+        let tenant = Tenant::from(demand.tenant.as_str());
+        add(&mut others.demand, tenant, demand.tokens);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a rate far below 2^52")]
+fn add(demand: &mut BTreeMap<Tenant, f64>, tenant: Tenant, tokens: u64) {
+    *demand.entry(tenant).or_default() += tokens as f64;
+}
+
+fn add_crashes(entry: &Entry, others: &mut Others, peer: &PeerDigest, now: Instant) {
+    for crash in &peer.digest.crashes {
+        let fingerprint = Fingerprint::told(&crash.fingerprint);
+        let server = ServerId::from(crash.server.as_str());
+        match crash.stage {
+            CrashStage::Seen | CrashStage::Alone => {
+                let age = Duration::from_millis(crash.age_ms);
+                let Some(at) = peer.received.checked_sub(age) else {
+                    continue;
+                };
+                let alone = crash.stage == CrashStage::Alone;
+                let heard = Crash {
+                    fingerprint,
+                    server,
+                    at,
+                    alone,
+                };
+                entry.suspects.heard(&heard, now);
+            }
+            CrashStage::Trial | CrashStage::TrialAlone => others.trials.push(Trial {
+                fingerprint,
+                server,
+                alone: crash.stage == CrashStage::TrialAlone,
+                incarnation: peer.digest.incarnation.as_str().into(),
+                begun: peer.received,
+            }),
+        }
+    }
 }
--- a/src/wire/generated.rs
+++ b/src/wire/generated.rs
@@ -156,6 +156,66 @@
     pub age_ms: u64,
     pub fingerprint: ::std::string::String,
     pub server: ::std::string::String,
+    pub stage: CrashStage,
+}
+#[doc = "A crash that was seen, seen with no other suspect there, or a suspect's run under way."]
+#[derive(
+    :: serde :: Deserialize,
+    :: serde :: Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+)]
+pub enum CrashStage {
+    #[serde(rename = "seen")]
+    Seen,
+    #[serde(rename = "alone")]
+    Alone,
+    #[serde(rename = "trial")]
+    Trial,
+    #[serde(rename = "trial-alone")]
+    TrialAlone,
+}
+impl ::std::fmt::Display for CrashStage {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Seen => f.write_str("seen"),
+            Self::Alone => f.write_str("alone"),
+            Self::Trial => f.write_str("trial"),
+            Self::TrialAlone => f.write_str("trial-alone"),
+        }
+    }
+}
+impl ::std::str::FromStr for CrashStage {
+    type Err = self::error::ConversionError;
+    fn from_str(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "seen" => Ok(Self::Seen),
+            "alone" => Ok(Self::Alone),
+            "trial" => Ok(Self::Trial),
+            "trial-alone" => Ok(Self::TrialAlone),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for CrashStage {
+    type Error = self::error::ConversionError;
+    fn try_from(value: &str) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for CrashStage {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
 }
 #[doc = "Which daemon a peer is."]
 #[derive(
@@ -879,6 +939,8 @@
     pub segments: ::std::vec::Vec<Segment>,
     pub server: ::std::string::String,
     pub tokens: ::std::vec::Vec<::std::string::String>,
+    #[doc = "Milliseconds from the first token of this part to its end."]
+    pub took_ms: u64,
 }
 #[doc = "A control daemon asks an entry for one sample."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
