--- a/src/log/usage/mod.rs
+++ b/src/log/usage/mod.rs
@@ -105,6 +105,11 @@
         self.unreported.values().next()
     }
 
+    /// The reports of all closed windows that are not confirmed, in order.
+    pub fn unreported(&self) -> impl Iterator<Item = &UsageReport> {
+        self.unreported.values()
+    }
+
     /// Folds the record at `offset`; returns the report of the window that it closed.
     ///
     /// A record that does not parse is skipped, by every reader alike.
--- a/src/log/usage/reader.rs
+++ b/src/log/usage/reader.rs
@@ -47,15 +47,21 @@
     }
 
     /// Folds a page; returns the reports of the windows that it closed.
+    ///
+    /// After a gap these include the windows that the snapshot holds as not yet reported.
     pub fn take(&mut self, page: &LogPage) -> Vec<UsageReport> {
         self.head = page.next;
-        if self.fold.next() < page.first && !self.restore(page) {
+        let is_gap = self.fold.next() < page.first;
+        if is_gap && !self.restore(page) {
             let end = page.records.last().map(|entry| entry.offset + 1);
             self.seek = Some(end.unwrap_or(page.next));
             return Vec::new();
         }
         self.seek = None;
         let mut reports = Vec::new();
+        if is_gap {
+            reports.extend(self.fold.unreported().cloned());
+        }
         for entry in &page.records {
             if snapshot_of(&entry.data).is_some() {
                 self.snapshot = Some(entry.offset);
--- a/tests/suite/usage.rs
+++ b/tests/suite/usage.rs
@@ -369,6 +369,36 @@
     );
 }
 
+#[test]
+fn usage_survives_retention() {
+    let dir = Workdir::new("usage");
+    let mut cluster = Cluster::start(&dir, 2, "");
+    let keep = serde_json::json!({"stream": "usage", "keep": 40});
+    dir.platform_post("retain", &keep);
+    wait_until("records expired", || {
+        cluster.load(1);
+        let page: LogPage = dir.platform_get("log/usage");
+        page.first > 20
+    });
+    for control in &mut cluster.controls {
+        control.signal("KILL");
+        control.wait(TAKEOVER);
+    }
+    // Both start from a snapshot, as the first records are gone.
+    cluster.controls = (0..2).map(|n| control(&dir, n, "")).collect();
+    cluster.load(2);
+    let is_whole = || cluster.reported() == cluster.generated();
+    wait_within("all tokens reported", TAKEOVER, is_whole);
+    let mut reported = Vec::new();
+    for report in cluster.reports() {
+        reported.push(serde_json::to_string(&report).expect("JSON"));
+    }
+    reported.dedup();
+    let replayed = cluster.replay();
+    assert!(replayed.len() < reported.len(), "nothing has expired");
+    assert!(reported.ends_with(&replayed), "{reported:?} {replayed:?}");
+}
+
 /// The value of a metric of entry 0, summed over its labels.
 fn metric(dir: &Workdir, name: &str) -> f64 {
     let answer = dir.get(&format!("{}/metrics", dir.entry_url(0)));
