--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod place;
 mod plain;
 mod poison;
+mod poll;
 pub mod prefix;
 mod report;
 mod retry;
@@ -155,6 +156,7 @@
         tokio::spawn(usage::share(Arc::clone(&entry)));
         tokio::spawn(usage::adopt(Arc::clone(&entry)));
         tokio::spawn(enter::follow_bounds(Arc::clone(&entry)));
+        tokio::spawn(poll::follow(Arc::clone(&entry)));
         let address = entry.settings.entry.http;
         let threads = entry.settings.threads;
         let state = Arc::clone(&entry);
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -16,7 +16,7 @@
 use super::{Entry, share};
 
 /// Time for which a suspect waits after the peers were told of it.
-const SPREAD: Duration = Duration::from_millis(500);
+const SPREAD: Duration = Duration::from_secs(1);
 /// Time between two looks at whether a suspect may run.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -101,6 +101,7 @@
             server: inflight.server.id.clone(),
             alone,
             incarnation: entry.incarnation.clone(),
+            begun: Instant::now(),
         });
         share::tell(entry, Instant::now());
         tokio::time::sleep(SPREAD).await;
--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -25,6 +25,8 @@
     pub alone: bool,
     /// The entry that runs it.
     pub incarnation: Incarnation,
+    /// When it began.
+    pub begun: Instant,
 }
 
 /// Crashes and suspects of one entry.
@@ -119,10 +121,15 @@
         state.seen.push(crash);
     }
 
+    /// Notes a crash that a peer saw.
+    pub fn heard(&self, crash: &Crash, now: Instant) {
+        self.state.lock().crashes.note(crash, now);
+    }
+
     /// Forgets crashes of a request that ran to its end.
-    pub fn absolve(&self, request: &Fingerprint) {
+    pub fn absolve(&self, request: &Fingerprint, now: Instant) {
         let mut state = self.state.lock();
-        state.crashes.absolve(request);
+        state.crashes.absolve(request, now);
         state.seen.retain(|seen| seen.fingerprint != *request);
     }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -39,7 +39,8 @@
 use crate::settings::{Listen, Settings};
 use crate::util::millis;
 use crate::wire::{
-    Crash, Daemon, Digest, Instance, LeaseHeld, OnceAnswer, PeerMessage, ServerLoad, TenantDemand,
+    Crash, CrashStage, Daemon, Digest, Instance, LeaseHeld, OnceAnswer, PeerMessage, ServerLoad,
+    TenantDemand,
 };
 
 use calls::Calls;
@@ -61,8 +62,10 @@
     pub fingerprint: String,
     /// The backend server.
     pub server: String,
-    /// When it crashed.
+    /// When it crashed, or the run began.
     pub at: Instant,
+    /// What it was.
+    pub stage: CrashStage,
 }
 
 /// What a daemon tells about itself, besides its configuration.
@@ -203,8 +206,9 @@
     pub fn update(&self, change: impl FnOnce(&mut Own)) {
         let mut counted = self.counted.lock();
         let leaving = counted.own.leaving;
+        let crashes = counted.own.crashes.clone();
         change(&mut counted.own);
-        let urgent = counted.own.leaving != leaving;
+        let urgent = counted.own.leaving != leaving || counted.own.crashes != crashes;
         if urgent {
             counted.content_at = None;
         }
@@ -394,6 +398,7 @@
             age_ms: millis(now.saturating_duration_since(crash.at)),
             fingerprint: crash.fingerprint.clone(),
             server: crash.server.clone(),
+            stage: crash.stage,
         };
         let told = &counted.told;
         let digest = Digest {
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -14,6 +14,7 @@
     BackendServer, Order, OrderAction, OrderOutcome, OrderResult, Price, ServerList, ServerState,
 };
 
+use super::counts::{EngineCounts, Fail};
 use super::engine::{Engine, EngineConfig};
 use super::faults::{Reclaim, SetCapacity};
 use super::loading::Loaded;
@@ -248,6 +249,23 @@
         self.orders.lock().clone()
     }
 
+    /// What each engine did, by server.
+    #[must_use]
+    pub fn engine_counts(&self) -> BTreeMap<String, EngineCounts> {
+        let members = self.members.lock();
+        let engines = members
+            .iter()
+            .filter_map(|(id, member)| Some((id.clone(), member.engine.as_ref()?.counts())));
+        engines.collect()
+    }
+
+    /// Makes an engine fail in a way; false when there is no such engine.
+    pub fn set_fail(&self, id: &str, fail: Option<Fail>) -> bool {
+        let members = self.members.lock();
+        let engine = members.get(id).and_then(|member| member.engine.as_ref());
+        engine.map(|engine| engine.set_fail(fail)).is_some()
+    }
+
     /// Tokens that all engines now running generated.
     #[must_use]
     pub fn generated(&self) -> u64 {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -12,14 +12,15 @@
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 
-use crate::wire::{Appended, Instance, Order, Price, UsageReport};
+use crate::wire::{Appended, Instance, Order, UsageReport};
 
 use super::engine::EngineConfig;
 use super::faults::{FaultTable, Interface, SetRetention};
-use super::fleet::{Fleet, PoolStandin};
+use super::fleet::Fleet;
 use super::log::LogStore;
 use super::relay::Relays;
 use super::serve::{self, Answer, Served, json, query, whole};
+use super::spec::ServerSpec;
 use super::weights::WeightStore;
 
 /// Serves the platform's interfaces and backend servers.
@@ -42,6 +43,12 @@
     /// Milliseconds for one token.
     #[options(help = "milliseconds for one token of a lone request", default = "2")]
     pub token_ms: u64,
+    /// Requests that an engine runs at a time.
+    #[options(help = "requests that an engine runs at a time", default = "16")]
+    pub slots: u32,
+    /// Blocks in an engine's prefix cache.
+    #[options(help = "blocks in an engine's prefix cache", default = "4096")]
+    pub cache: usize,
     /// Milliseconds that a call of a plain service takes.
     #[options(
         help = "milliseconds that a call of a plain service takes",
@@ -164,6 +171,8 @@
             }
             "seen" => Ok(json(&self.fleet.record.seen())),
             "runs" => Ok(json(&self.fleet.record.runs())),
+            "engines" => Ok(json(&self.fleet.engine_counts())),
+            "engine" => Ok(self.engine_call(&call)),
             "loads" => Ok(set(&call, |ends| self.fleet.store.set_ends(ends))),
             "crossed" => {
                 self.fleet.store.cross_next(rest.parse().unwrap_or(1));
@@ -190,6 +199,15 @@
         list.clone()
     }
 
+    /// Makes an engine fail, as the body says, or work again.
+    fn engine_call(&self, call: &Call<'_>) -> Response<serve::Body> {
+        match serde_json::from_str(&call.body) {
+            Ok(fail) if self.fleet.set_fail(call.rest, fail) => json(&()),
+            Ok(_) => whole(StatusCode::NOT_FOUND, "no such engine"),
+            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
     fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
         match &self.relays {
             Some(relays) => set(call, |directions| relays.cut(directions)),
@@ -327,6 +345,8 @@
     }
     let engine = EngineConfig {
         token: Duration::from_millis(args.token_ms),
+        slots: args.slots,
+        cache: args.cache,
         fenced: !args.unfenced,
         ..EngineConfig::default()
     };
@@ -350,55 +370,3 @@
     let _served = platform.serve(listen).await?;
     crate::util::stop_signal().await
 }
-
-/// Servers of one pool in one availability zone.
-#[derive(Debug)]
-struct ServerSpec {
-    pool: String,
-    is_engine: bool,
-    zone: String,
-    count: u32,
-    price: Price,
-}
-
-impl ServerSpec {
-    fn parse(text: &str) -> io::Result<Self> {
-        let malformed = || {
-            io::Error::other(format!(
-                "{text}: expected POOL:KIND:ZONE:COUNT or with :cheap"
-            ))
-        };
-        let (text, price) = match text.strip_suffix(":cheap") {
-            Some(rest) => (rest, Price::Cheap),
-            None => (text, Price::Regular),
-        };
-        let parts: Vec<&str> = text.split(':').collect();
-        let [pool, kind, zone, count] = parts[..] else {
-            return Err(malformed());
-        };
-        if kind != "engine" && kind != "service" {
-            return Err(malformed());
-        }
-        Ok(Self {
-            pool: pool.to_owned(),
-            is_engine: kind == "engine",
-            zone: zone.to_owned(),
-            count: count.parse().map_err(|_| malformed())?,
-            price,
-        })
-    }
-
-    fn standin(&self, config: EngineConfig, args: &Args) -> PoolStandin {
-        if self.is_engine {
-            let model = args.model.clone();
-            return PoolStandin::Engine {
-                config,
-                model,
-                version: 1,
-            };
-        }
-        PoolStandin::Service {
-            work: Duration::from_millis(args.work_ms),
-        }
-    }
-}
--- /dev/null
+++ b/src/standin/spec.rs
@@ -0,0 +1,72 @@
+//! The servers that the platform's command line asks for.
+
+use std::io;
+use std::time::Duration;
+
+use crate::wire::Price;
+
+use super::engine::EngineConfig;
+use super::fleet::PoolStandin;
+use super::platform::Args;
+
+/// Servers of one pool in one availability zone.
+#[derive(Debug)]
+pub(super) struct ServerSpec {
+    /// The pool.
+    pub pool: String,
+    /// Whether they are model engines.
+    pub is_engine: bool,
+    /// The availability zone.
+    pub zone: String,
+    /// How many.
+    pub count: u32,
+    /// Their price.
+    pub price: Price,
+}
+
+impl ServerSpec {
+    /// Parses a server argument.
+    ///
+    /// # Errors
+    /// The text is malformed.
+    pub(super) fn parse(text: &str) -> io::Result<Self> {
+        let malformed = || {
+            io::Error::other(format!(
+                "{text}: expected POOL:KIND:ZONE:COUNT or with :cheap"
+            ))
+        };
+        let (text, price) = match text.strip_suffix(":cheap") {
+            Some(rest) => (rest, Price::Cheap),
+            None => (text, Price::Regular),
+        };
+        let parts: Vec<&str> = text.split(':').collect();
+        let [pool, kind, zone, count] = parts[..] else {
+            return Err(malformed());
+        };
+        if kind != "engine" && kind != "service" {
+            return Err(malformed());
+        }
+        Ok(Self {
+            pool: pool.to_owned(),
+            is_engine: kind == "engine",
+            zone: zone.to_owned(),
+            count: count.parse().map_err(|_| malformed())?,
+            price,
+        })
+    }
+
+    /// What the servers of the pool are.
+    pub(super) fn standin(&self, config: EngineConfig, args: &Args) -> PoolStandin {
+        if self.is_engine {
+            let model = args.model.clone();
+            return PoolStandin::Engine {
+                config,
+                model,
+                version: 1,
+            };
+        }
+        PoolStandin::Service {
+            work: Duration::from_millis(args.work_ms),
+        }
+    }
+}
