--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -288,9 +288,10 @@
 
     /// Notes a whole answer, which clears the request of suspicion.
     fn succeeded(&mut self, server: &KnownServer) {
-        server.succeed(Instant::now());
+        let now = Instant::now();
+        server.succeed(now);
         if self.trial.take().is_some() {
-            self.entry.suspects.absolve(&self.fingerprint);
+            self.entry.suspects.absolve(&self.fingerprint, now);
         }
     }
 
--- a/src/entry/limit.rs
+++ b/src/entry/limit.rs
@@ -104,6 +104,16 @@
             bucket.give_back(tokens);
         }
     }
+
+    /// Each tenant's demand in tokens a second; idle tenants are forgotten.
+    #[must_use]
+    pub fn demand(&self, now: Instant) -> Vec<(Tenant, f64)> {
+        let mut buckets = self.buckets.lock();
+        buckets.retain(|_, bucket| bucket.demand(now) >= 1.0 || bucket.level < 0.0);
+        let each = buckets.iter();
+        each.map(|(tenant, bucket)| (tenant.clone(), bucket.demand(now)))
+            .collect()
+    }
 }
 
 #[cfg(test)]
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -35,15 +35,19 @@
 use crate::edge::Instances;
 use crate::log::ConfigLog;
 use crate::names::{Incarnation, KeyDigest, Secret, Zone};
+use crate::rank::is_chosen;
 use crate::settings::{Listen, Settings};
 use crate::util::millis;
 use crate::wire::{
-    Crash, Daemon, Digest, Instance, LeaseHeld, OnceAnswer, PeerMessage, ServerLoad, TenantDemand,
+    Crash, CrashStage, Daemon, Digest, Instance, LeaseHeld, OnceAnswer, PeerMessage, ServerLoad,
+    TenantDemand,
 };
 
 use calls::Calls;
 use table::DigestTable;
 
+/// Instances that read the configuration stream; the others hear of it from peers.
+const LOG_READERS: usize = 12;
 /// Time after which an entry's beat is counted up; majorities rest on entries' beats.
 const BEAT_ENTRY: Duration = Duration::from_millis(900);
 /// Time after which a control daemon's beat is counted up.
@@ -58,8 +62,10 @@
     pub fingerprint: String,
     /// The backend server.
     pub server: String,
-    /// When it crashed.
+    /// When it crashed, or the run began.
     pub at: Instant,
+    /// What it was.
+    pub stage: CrashStage,
 }
 
 /// What a daemon tells about itself, besides its configuration.
@@ -200,8 +206,9 @@
     pub fn update(&self, change: impl FnOnce(&mut Own)) {
         let mut counted = self.counted.lock();
         let leaving = counted.own.leaving;
+        let crashes = counted.own.crashes.clone();
         change(&mut counted.own);
-        let urgent = counted.own.leaving != leaving;
+        let urgent = counted.own.leaving != leaving || counted.own.crashes != crashes;
         if urgent {
             counted.content_at = None;
         }
@@ -239,6 +246,13 @@
         found.cloned()
     }
 
+    /// Whether this daemon is among those that read the log for the others.
+    #[must_use]
+    pub fn reads_log(&self) -> bool {
+        let listed = self.listed();
+        is_chosen(&"config", LOG_READERS, self.me.instance.as_str(), &listed)
+    }
+
     /// The instances of this region, as last listed.
     #[must_use]
     pub fn listed(&self) -> Arc<Vec<Instance>> {
@@ -384,6 +398,7 @@
             age_ms: millis(now.saturating_duration_since(crash.at)),
             fingerprint: crash.fingerprint.clone(),
             server: crash.server.clone(),
+            stage: crash.stage,
         };
         let told = &counted.told;
         let digest = Digest {
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -4,7 +4,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -15,6 +14,8 @@
 use crate::names::sha256_hex;
 use crate::wire::{EngineChunk, EngineLoad, EngineRequest};
 
+pub use super::config::EngineConfig;
+use super::counts::{EngineCounts, Fail};
 use super::loading::Loaded;
 use super::prefix::PrefixCache;
 use super::serve::{self, Answer, Served, events, json, whole};
@@ -31,44 +32,10 @@
 /// Chunks that may wait for a slow reader.
 const CHUNKS_WAITING: usize = 4;
 
-/// How an engine behaves.
-#[derive(Clone, Copy, Debug)]
-pub struct EngineConfig {
-    /// Requests that run at a time.
-    pub slots: u32,
-    /// Time for one token of a lone request.
-    pub token: Duration,
-    /// Share by which each further running request slows all of them down.
-    pub slowdown: f64,
-    /// Time for each prompt word that is not cached.
-    pub prefill: Duration,
-    /// Blocks in the prefix cache.
-    pub cache: usize,
-    /// Tokens in one chunk.
-    pub chunk: usize,
-    /// Whether orders with an old fencing number are refused.
-    pub fenced: bool,
-    /// Time by which the load report lags.
-    pub lag: Duration,
-}
-
-impl Default for EngineConfig {
-    fn default() -> Self {
-        Self {
-            slots: 16,
-            token: Duration::from_millis(2),
-            slowdown: 0.05,
-            prefill: Duration::from_micros(50),
-            cache: 4_096,
-            chunk: 4,
-            fenced: true,
-            lag: Duration::from_millis(500),
-        }
-    }
-}
-
 #[derive(Debug)]
 struct State {
+    fail: Option<Fail>,
+    counts: EngineCounts,
     loaded: Loaded,
     running: u32,
     sequence: u64,
@@ -126,6 +93,8 @@
             store,
             crash,
             state: Mutex::new(State {
+                fail: None,
+                counts: EngineCounts::default(),
                 loaded: Loaded::default(),
                 running: 0,
                 sequence: 0,
@@ -163,6 +132,17 @@
         state.loaded.version = version;
     }
 
+    /// Makes the engine fail in a way, or work again.
+    pub fn set_fail(&self, fail: Option<Fail>) {
+        self.state.lock().fail = fail;
+    }
+
+    /// What it did so far.
+    #[must_use]
+    pub fn counts(&self) -> EngineCounts {
+        self.state.lock().counts
+    }
+
     /// Tokens generated so far.
     #[must_use]
     pub fn generated(&self) -> u64 {
@@ -226,7 +206,11 @@
     }
 
     fn generate(self: Arc<Self>, request: EngineRequest) -> Response<serve::Body> {
-        let state = self.state.lock();
+        let mut state = self.state.lock();
+        state.counts.came += 1;
+        if state.fail == Some(Fail::Refuse) {
+            return whole(StatusCode::INTERNAL_SERVER_ERROR, "it fails on purpose");
+        }
         let wrong = request
             .version
             .is_some_and(|oldest| oldest > state.loaded.version);
@@ -253,13 +237,18 @@
             slot = slot => slot,
             () = sender.closed() => return,
         };
+        if self.state.lock().fail == Some(Fail::Break) {
+            return;
+        }
         if request.prompt.contains(POISON) {
             self.crash();
             return;
         }
         let words = request.prompt.split_whitespace().count();
-        let cached = self.state.lock().cache.visit(&request.prompt);
-        let missing = u32::try_from(words.saturating_sub(cached)).unwrap_or(u32::MAX);
+        let cached = self.visit(&request.prompt, words);
+        // A resumed answer's tokens are read like a prompt that is not cached.
+        let missing = words.saturating_sub(cached) + request.resume.len();
+        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
         tokio::time::sleep(self.config.prefill * missing).await;
         let total = answer_length(&request);
         let mut index = request.resume.len();
@@ -288,6 +277,15 @@
         self.state.lock().served += 1;
     }
 
+    /// Caches a prompt; returns its words that were cached before.
+    fn visit(&self, prompt: &str, words: usize) -> usize {
+        let mut state = self.state.lock();
+        let cached = state.cache.visit(prompt);
+        state.counts.words += words as u64;
+        state.counts.cached += cached as u64;
+        cached
+    }
+
     /// Waits for a slot, lower priority numbers first.
     async fn slot(self: &Arc<Self>, priority: u32) -> SlotGuard {
         let waiting = {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,10 +3,13 @@
 //! They are never part of an instance. One process holds the whole platform and the
 //! backend servers; its faults are set by `POST /fault`.
 
+pub mod config;
+pub mod counts;
 pub mod demo;
 pub mod engine;
 pub mod faults;
 pub mod fleet;
+pub mod load;
 pub mod loading;
 pub mod log;
 pub mod platform;
@@ -14,6 +17,8 @@
 pub mod relay;
 pub mod serve;
 pub mod service;
+mod spec;
+pub mod trainer;
 pub mod weights;
 
 use std::process::ExitCode;
@@ -37,8 +42,12 @@
     Platform(platform::Args),
     #[options(help = "go through the main job once and check every answer")]
     Demo(demo::Args),
+    #[options(help = "pull rounds as trainers do, and measure")]
+    Trainer(trainer::Args),
     #[options(help = "compare reported usage with a replay")]
     Compare(demo::CompareArgs),
+    #[options(help = "send requests at stated rates and check every answer")]
+    Load(load::Args),
 }
 
 /// Parses the command line and runs the stand-in that it names.
@@ -52,7 +61,9 @@
     let done = match command {
         Command::Platform(args) => platform::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Trainer(args) => trainer::run(&args),
         Command::Compare(args) => demo::compare(&args),
+        Command::Load(args) => load::run(&args),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -12,14 +12,15 @@
 use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 
-use crate::wire::{Appended, Instance, Order, Price, UsageReport};
+use crate::wire::{Appended, Instance, Order, UsageReport};
 
 use super::engine::EngineConfig;
 use super::faults::{FaultTable, Interface, SetRetention};
-use super::fleet::{Fleet, PoolStandin};
+use super::fleet::Fleet;
 use super::log::LogStore;
 use super::relay::Relays;
 use super::serve::{self, Answer, Served, json, query, whole};
+use super::spec::ServerSpec;
 use super::weights::WeightStore;
 
 /// Serves the platform's interfaces and backend servers.
@@ -42,6 +43,12 @@
     /// Milliseconds for one token.
     #[options(help = "milliseconds for one token of a lone request", default = "2")]
     pub token_ms: u64,
+    /// Requests that an engine runs at a time.
+    #[options(help = "requests that an engine runs at a time", default = "16")]
+    pub slots: u32,
+    /// Blocks in an engine's prefix cache.
+    #[options(help = "blocks in an engine's prefix cache", default = "4096")]
+    pub cache: usize,
     /// Milliseconds that a call of a plain service takes.
     #[options(
         help = "milliseconds that a call of a plain service takes",
@@ -92,6 +99,8 @@
     pub relays: Option<Relays>,
     /// The faults in force.
     pub faults: FaultTable,
+    /// Calls by interface and calling instance.
+    pub calls: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Platform {
@@ -105,6 +114,7 @@
             relays,
             reports: Mutex::default(),
             faults: FaultTable::default(),
+            calls: Mutex::default(),
         })
     }
 
@@ -134,6 +144,8 @@
         let body = serve::read(body).await?;
         let body = String::from_utf8_lossy(&body).into_owned();
         let (page, rest) = path.split_once('/').unwrap_or((path, ""));
+        let counted = format!("{page}/{}", instance.unwrap_or_default());
+        *self.calls.lock().entry(counted).or_default() += 1;
         let call = Call {
             instance,
             post: head.method == Method::POST,
@@ -159,6 +171,8 @@
             }
             "seen" => Ok(json(&self.fleet.record.seen())),
             "runs" => Ok(json(&self.fleet.record.runs())),
+            "engines" => Ok(json(&self.fleet.engine_counts())),
+            "engine" => Ok(self.engine_call(&call)),
             "loads" => Ok(set(&call, |ends| self.fleet.store.set_ends(ends))),
             "crossed" => {
                 self.fleet.store.cross_next(rest.parse().unwrap_or(1));
@@ -172,6 +186,7 @@
                 Ok(json(&names))
             }
             "orders" => Ok(json(&self.fleet.orders())),
+            "calls" => Ok(json(&*self.calls.lock())),
             _ => Ok(whole(StatusCode::NOT_FOUND, "no such page")),
         }
     }
@@ -184,6 +199,15 @@
         list.clone()
     }
 
+    /// Makes an engine fail, as the body says, or work again.
+    fn engine_call(&self, call: &Call<'_>) -> Response<serve::Body> {
+        match serde_json::from_str(&call.body) {
+            Ok(fail) if self.fleet.set_fail(call.rest, fail) => json(&()),
+            Ok(_) => whole(StatusCode::NOT_FOUND, "no such engine"),
+            Err(error) => whole(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+
     fn cut_call(&self, call: &Call<'_>) -> Response<serve::Body> {
         match &self.relays {
             Some(relays) => set(call, |directions| relays.cut(directions)),
@@ -321,6 +345,8 @@
     }
     let engine = EngineConfig {
         token: Duration::from_millis(args.token_ms),
+        slots: args.slots,
+        cache: args.cache,
         fenced: !args.unfenced,
         ..EngineConfig::default()
     };
@@ -344,55 +370,3 @@
     let _served = platform.serve(listen).await?;
     crate::util::stop_signal().await
 }
-
-/// Servers of one pool in one availability zone.
-#[derive(Debug)]
-struct ServerSpec {
-    pool: String,
-    is_engine: bool,
-    zone: String,
-    count: u32,
-    price: Price,
-}
-
-impl ServerSpec {
-    fn parse(text: &str) -> io::Result<Self> {
-        let malformed = || {
-            io::Error::other(format!(
-                "{text}: expected POOL:KIND:ZONE:COUNT or with :cheap"
-            ))
-        };
-        let (text, price) = match text.strip_suffix(":cheap") {
-            Some(rest) => (rest, Price::Cheap),
-            None => (text, Price::Regular),
-        };
-        let parts: Vec<&str> = text.split(':').collect();
-        let [pool, kind, zone, count] = parts[..] else {
-            return Err(malformed());
-        };
-        if kind != "engine" && kind != "service" {
-            return Err(malformed());
-        }
-        Ok(Self {
-            pool: pool.to_owned(),
-            is_engine: kind == "engine",
-            zone: zone.to_owned(),
-            count: count.parse().map_err(|_| malformed())?,
-            price,
-        })
-    }
-
-    fn standin(&self, config: EngineConfig, args: &Args) -> PoolStandin {
-        if self.is_engine {
-            let model = args.model.clone();
-            return PoolStandin::Engine {
-                config,
-                model,
-                version: 1,
-            };
-        }
-        PoolStandin::Service {
-            work: Duration::from_millis(args.work_ms),
-        }
-    }
-}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,19 +2,24 @@
 #![cfg(feature = "standin")]
 
 mod bad_input;
+mod burn;
 mod check;
 mod config_log;
 mod drain;
 mod leak;
 mod lease;
+mod load;
 mod once;
 mod openapi;
 mod orders;
 mod path;
 mod peers;
+mod poison;
+mod readers;
 mod rounds;
 mod slope;
 mod stop;
+mod tenant;
 mod trainer;
 mod usage;
 mod weights;
--- a/tests/suite/rounds.rs
+++ b/tests/suite/rounds.rs
@@ -159,6 +159,17 @@
     pair.finish(&dir, |pair| pair.controls[0] = None);
 }
 
+#[test]
+fn rounds_control_stopped() {
+    let dir = Workdir::new("stopped");
+    let mut pair = Pair::start(&dir);
+    pair.finish(&dir, |pair| {
+        let mut control = pair.controls[0].take().expect("the first control daemon");
+        control.signal("TERM");
+        assert!(control.wait(Duration::from_secs(5)).success());
+    });
+}
+
 #[test]
 fn rounds_zone_reclaimed() {
     let dir = Workdir::new("reclaim");
