Move samples off backend servers that are leaving

Rollout work goes on elsewhere at the next chunk once its server is listed as leaving, so that a reclaim breaks none of it. Live requests stay: if no other server were ready, a stream that works would end in an error.

--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -147,7 +147,7 @@
                     self.take(&chunk);
                     if chunk.done {
                         self.succeeded(&stream.inflight.server);
-                    } else {
+                    } else if !self.is_to_move(&stream.inflight.server) {
                         self.stream = Some(stream);
                     }
                     return Ok(chunk);
@@ -161,6 +161,14 @@
         }
     }
 
+    /// Whether to go on elsewhere because the server is leaving.
+    ///
+    /// Only rollout work moves: it loses nothing where no other server is ready.
+    fn is_to_move(&self, server: &KnownServer) -> bool {
+        let is_rollout = self.job.priority > 0;
+        is_rollout && server.is_leaving() && !self.entry.servers.running(&self.pool).is_empty()
+    }
+
     /// Opens a stream on some server.
     async fn open(&mut self) -> Result<(), Refusal> {
         self.begin_attempt()?;
--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -43,6 +43,7 @@
 struct Work {
     number: ServerNumber,
     inflight: AtomicU32,
+    leaving: AtomicBool,
     health: Mutex<Health>,
     report: Mutex<Option<Report>>,
 }
@@ -52,6 +53,7 @@
         Self {
             number,
             inflight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
             health: Mutex::default(),
             report: Mutex::default(),
         }
@@ -151,13 +153,16 @@
             let id = ServerId::from(server.id);
             let work = works.get(&id).map(|work| Arc::clone(work));
             let fresh = || Arc::new(Work::new(self.numbers.fetch_add(1, Ordering::Relaxed)));
+            let work = work.unwrap_or_else(fresh);
+            let running = server.state == ServerState::Running && server.notice_ms.is_none();
+            work.leaving.store(!running, Ordering::Relaxed);
             known.push(Arc::new(KnownServer {
                 id,
                 pool: server.pool.into(),
                 zone: server.zone.into(),
                 address: server.address,
-                running: server.state == ServerState::Running && server.notice_ms.is_none(),
-                work: work.unwrap_or_else(fresh),
+                running,
+                work,
             }));
         }
         self.known.store(Arc::new(known));
@@ -234,6 +239,12 @@
         self.work.own()
     }
 
+    /// Whether it has been listed as leaving, since this view of it was made or before.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.work.leaving.load(Ordering::Relaxed)
+    }
+
     /// Its number in the index of prefixes.
     #[must_use]
     pub fn number(&self) -> ServerNumber {
--- a/tests/suite/rounds.rs
+++ b/tests/suite/rounds.rs
@@ -178,6 +178,29 @@
     pair.finish(&dir, |_| dir.platform_post("reclaim", &reclaim));
 }
 
+#[test]
+fn rounds_move_while_notice_lasts() {
+    let dir = Workdir::new("notice");
+    let pair = Pair::start(&dir);
+    let args = ["--groups", "4", "--samples", "8", "--max-tokens", "2000"];
+    create(&dir, "r2", &args);
+    let mut trainer = Trainer::new(&dir, &pair.key, "r2", 2);
+    wait_until("the session opens", || {
+        trainer.open().is_some_and(|status| status.is_success())
+    });
+    wait_until("engines generate", || {
+        dir.platform_get::<u64>("generated") > 1_000
+    });
+    let reclaim = serde_json::json!({"zone": "z1", "notice_ms": 3_000});
+    dir.platform_post("reclaim", &reclaim);
+    trainer.finish(|_| {});
+    assert_eq!(trainer.held.len(), 32);
+    for n in 0..2 {
+        let log = dir.log(&format!("entry{n}"));
+        assert!(!log.contains("engine failed"), "a sample was cut: {log}");
+    }
+}
+
 #[test]
 fn rounds_answers_crossed() {
     let dir = Workdir::new("crossed");
