Take silent entries for idle when a majority of them is heard

Entries tell only servers with work in their digests, so an idle pool had an unknown demand and never shrank. Without a majority it stays unknown.

--- a/src/control/orders.rs
+++ b/src/control/orders.rs
@@ -190,6 +190,11 @@
         let mut demand = BTreeMap::new();
         let digests = self.peers.digests();
         let entries = digests.iter().filter(|d| d.digest.daemon == Daemon::Entry);
+        // Entries tell only servers with work; without a majority of them nothing is known.
+        if entries.clone().count() * 2 > self.peers.listed().len() {
+            let all = pools.values().map(|pool| (Pool::from(*pool), 0));
+            demand.extend(all);
+        }
         for load in entries.flat_map(|entry| &entry.digest.loads) {
             if let Some(pool) = pools.get(load.server.as_str()) {
                 *demand.entry(Pool::from(*pool)).or_default() += u64::from(load.inflight);
