--- a/src/entry/servers.rs
+++ b/src/entry/servers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -15,6 +15,7 @@
 
 use super::choose::{self, Candidate};
 use super::eject::{Failure, Health};
+use super::enter;
 use super::others::Others;
 use super::prefix::{PrefixIndex, ServerNumber};
 use super::report::{Report, estimate};
@@ -43,6 +44,7 @@
 struct Work {
     number: ServerNumber,
     inflight: AtomicU32,
+    leaving: AtomicBool,
     health: Mutex<Health>,
     report: Mutex<Option<Report>>,
 }
@@ -52,6 +54,7 @@
         Self {
             number,
             inflight: AtomicU32::new(0),
+            leaving: AtomicBool::new(false),
             health: Mutex::default(),
             report: Mutex::default(),
         }
@@ -151,13 +154,16 @@
             let id = ServerId::from(server.id);
             let work = works.get(&id).map(|work| Arc::clone(work));
             let fresh = || Arc::new(Work::new(self.numbers.fetch_add(1, Ordering::Relaxed)));
+            let work = work.unwrap_or_else(fresh);
+            let running = server.state == ServerState::Running && server.notice_ms.is_none();
+            work.leaving.store(!running, Ordering::Relaxed);
             known.push(Arc::new(KnownServer {
                 id,
                 pool: server.pool.into(),
                 zone: server.zone.into(),
                 address: server.address,
-                running: server.state == ServerState::Running && server.notice_ms.is_none(),
-                work: work.unwrap_or_else(fresh),
+                running,
+                work,
             }));
         }
         self.known.store(Arc::new(known));
@@ -169,9 +175,12 @@
         let fits = self.fitting(need, now);
         let numbers: Vec<ServerNumber> = fits.iter().map(|server| server.work.number).collect();
         let held = self.prefixes.held(need.blocks, &numbers);
+        let ids: Vec<ServerId> = fits.iter().map(|server| server.id.clone()).collect();
+        let mean = others.inflight_on(&ids) / enter::float(ids.len().max(1) as u64);
         let mut candidates = Vec::with_capacity(fits.len());
         for (server, held) in fits.iter().zip(held) {
-            candidates.push(candidate(server, need, others, held, now));
+            let peers = others.expected_on(&server.id, mean);
+            candidates.push(candidate(server, need, peers, held, now));
         }
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
         let chosen = choose::choose(need.policy.choice, &candidates, need.work, turn)?;
@@ -234,6 +243,12 @@
         self.work.own()
     }
 
+    /// Whether it has been listed as leaving, since this view of it was made or before.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.work.leaving.load(Ordering::Relaxed)
+    }
+
     /// Its number in the index of prefixes.
     #[must_use]
     pub fn number(&self) -> ServerNumber {
@@ -283,12 +298,11 @@
 fn candidate(
     server: &KnownServer,
     need: &Need<'_>,
-    others: &Others,
+    peers: f64,
     held: usize,
     now: Instant,
 ) -> Candidate {
     let own = f64::from(server.own());
-    let peers = others.inflight.get(&server.id).copied().unwrap_or(0.0);
     let report = server.work.report.lock();
     #[expect(clippy::cast_precision_loss, reason = "a prompt has few blocks")]
     let held = held as f64 / need.blocks.len().max(1) as f64;
