--- a/tests/suite/rounds.rs
+++ b/tests/suite/rounds.rs
@@ -188,10 +188,11 @@
     wait_until("the session opens", || {
         trainer.open().is_some_and(|status| status.is_success())
     });
-    wait_until("engines generate", || {
-        dir.platform_get::<u64>("generated") > 1_000
+    // Of 64,000 tokens; by now no part ends before the notice does.
+    wait_until("the samples are in their longest part", || {
+        dir.platform_get::<u64>("generated") > 40_000
     });
-    let reclaim = serde_json::json!({"zone": "z1", "notice_ms": 3_000});
+    let reclaim = serde_json::json!({"zone": "z1", "notice_ms": 1_200});
     dir.platform_post("reclaim", &reclaim);
     trainer.finish(|_| {});
     assert_eq!(trainer.held.len(), 32);
