--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -4,15 +4,21 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Meter;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
 use crate::edge::{EdgeResult, Instances, Log, Stream};
-use crate::lease::{Due, Held, Roles, is_eligible};
+use crate::lease::{Due, Held, Roles};
 use crate::log::Backoff;
 use crate::names::{Incarnation, InstanceId};
+use crate::rank::is_chosen;
 use crate::wire::{Instance, LeaseHeld, LeaseRecord, LogPage, Role};
 
+/// Instances that may claim one role.
+const ELIGIBLE: usize = 5;
+
 /// All roles.
 const ROLES: [Role; 3] = [Role::Servers, Role::Usage, Role::Weights];
 /// Longest wait of one read at the stream's head.
@@ -86,6 +92,37 @@
         Some(LeaseGuard { held, _work: work })
     }
 
+    /// Leaves a role to others for a while, because this process cannot do its work.
+    ///
+    /// The caller has no work of the role on its way.
+    pub fn rest(&self, role: Role, until: Instant) {
+        self.state.lock().roles.rest(role, until);
+        spdlog::warn!("lease given up", kv: { role = role.to_string() });
+        self.changed.notify_one();
+    }
+
+    /// Adds gauges of the leases to a meter.
+    pub fn observe(self: &Arc<Self>, meter: &Meter) {
+        let leases = Arc::clone(self);
+        let held = meter
+            .u64_observable_gauge("basillead_lease_held")
+            .with_description("Whether this process holds the lease of a role.");
+        held.with_callback(move |gauge| {
+            for role in ROLES {
+                let held = u64::from(leases.held(role).is_some());
+                gauge.observe(held, &[KeyValue::new("role", role.to_string())]);
+            }
+        })
+        .build();
+        let leases = Arc::clone(self);
+        let known = meter
+            .u64_observable_gauge("basillead_lease_known")
+            .with_description("Whether this process has read the lease stream to its head.");
+        known
+            .with_callback(move |gauge| gauge.observe(u64::from(leases.is_known()), &[]))
+            .build();
+    }
+
     /// All leases that this process may use now.
     #[must_use]
     pub fn all(&self) -> Vec<LeaseHeld> {
@@ -174,7 +211,7 @@
     }
 
     fn may_claim(&self, role: Role, list: &[Instance]) -> bool {
-        is_eligible(role, self.instance.as_str(), list)
+        is_chosen(&role, ELIGIBLE, self.instance.as_str(), list)
     }
 
     /// Folds a page that was received at `received`.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod api;
 mod auth;
+mod burn;
 mod choose;
 mod drain;
 mod eject;
@@ -54,6 +55,7 @@
 use crate::wire::Daemon;
 
 pub(crate) use auth::bearer;
+pub use burn::BurnTable;
 pub use leak::{KEY_DIGITS, KEY_PREFIX};
 pub use servers::ServerTable;
 pub use usage::{ADOPT_AFTER, UsageBatch, UsageCopies, UsageCounters};
@@ -73,6 +75,7 @@
     hold: drain::HoldBound,
     servers: ServerTable,
     log: Arc<HttpLog>,
+    burn: BurnTable,
     usage: UsageCounters,
     copies: UsageCopies,
     appends: tokio::sync::Mutex<usage::AppendState>,
@@ -120,6 +123,7 @@
             hold: drain::HoldBound::default(),
             log,
             servers: ServerTable::new(Arc::new(marked)),
+            burn: BurnTable::default(),
             usage: UsageCounters::default(),
             copies: UsageCopies::default(),
             appends: tokio::sync::Mutex::default(),
@@ -175,7 +179,7 @@
 }
 
 async fn follow_config(entry: Arc<Entry>) {
-    entry.config.follow().await;
+    entry.config.follow(|| entry.peers.reads_log()).await;
 }
 
 async fn follow_servers(entry: Arc<Entry>) {
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -18,6 +18,7 @@
 pub mod serve;
 pub mod service;
 mod spec;
+pub mod trainer;
 pub mod weights;
 
 use std::process::ExitCode;
@@ -41,6 +42,8 @@
     Platform(platform::Args),
     #[options(help = "go through the main job once and check every answer")]
     Demo(demo::Args),
+    #[options(help = "pull rounds as trainers do, and measure")]
+    Trainer(trainer::Args),
     #[options(help = "compare reported usage with a replay")]
     Compare(demo::CompareArgs),
     #[options(help = "send requests at stated rates and check every answer")]
@@ -58,6 +61,7 @@
     let done = match command {
         Command::Platform(args) => platform::run(&args),
         Command::Demo(args) => demo::run(&args),
+        Command::Trainer(args) => trainer::run(&args),
         Command::Compare(args) => demo::compare(&args),
         Command::Load(args) => load::run(&args),
     };
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 #![cfg(feature = "standin")]
 
 mod bad_input;
+mod burn;
 mod check;
 mod config_log;
 mod drain;
@@ -14,8 +15,11 @@
 mod path;
 mod peers;
 mod poison;
+mod readers;
 mod rounds;
+mod slope;
 mod stop;
+mod tenant;
 mod trainer;
 mod usage;
 mod weights;
