--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod burn;
 mod check;
+mod cluster;
 mod config_log;
 mod drain;
 mod leak;
