--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -117,39 +117,11 @@
     /// The address cannot be bound.
     pub async fn run(self) -> std::io::Result<()> {
         let control = Arc::new(self);
-        let state = Arc::clone(&control);
-        tokio::spawn(async move { state.config.follow(|| state.peers.reads_log()).await });
         control.peers.run().await?;
-        tokio::spawn(withdraw::append_denied(Arc::clone(&control)));
-        let leases = Arc::clone(&control.leases);
-        tokio::spawn(async move { leases.run().await });
-        tokio::spawn(tell_leases(Arc::clone(&control)));
-        tokio::spawn(Arc::clone(&control.usage).run());
-        let orders = Arc::clone(&control.orders);
-        let log = Arc::clone(&orders.log);
-        let (config, leases) = (Arc::clone(&orders.config), Arc::clone(&orders.leases));
-        tokio::spawn(snapshot::run(log, config, leases));
-        tokio::spawn(orders.run());
+        control.start_duties();
+        let rounds = control.start_rounds();
         let address = control.settings.control.http;
         let threads = control.settings.threads;
-        let rounds = Rounds::new(
-            &control.settings,
-            &control.client,
-            Arc::clone(&control.config),
-            Arc::clone(&control.peers),
-        );
-        let rounds = Arc::new(rounds);
-        tokio::spawn(Arc::clone(&rounds).follow());
-        tokio::spawn(Arc::clone(&rounds).leave(control.drain.watch()));
-        let weights = Weights::new(
-            Arc::clone(&control.config),
-            Arc::clone(&control.peers),
-            Arc::clone(&control.leases),
-            control.servers.clone(),
-            &control.client,
-            &control.metrics.meter(),
-        );
-        tokio::spawn(weights.run());
         let state = Arc::clone(&control);
         let server = Server::start(address, threads, move |request| {
             serve::answer(Arc::clone(&state), Arc::clone(&rounds), request)
@@ -167,6 +139,45 @@
         Ok(())
     }
 
+    /// Starts what follows the log and what is done under leases.
+    fn start_duties(self: &Arc<Self>) {
+        let state = Arc::clone(self);
+        tokio::spawn(async move { state.config.follow(|| state.peers.reads_log()).await });
+        let leases = Arc::clone(&self.leases);
+        tokio::spawn(async move { leases.run().await });
+        tokio::spawn(withdraw::append_denied(Arc::clone(self)));
+        tokio::spawn(tell_leases(Arc::clone(self)));
+        tokio::spawn(Arc::clone(&self.usage).run());
+        let orders = Arc::clone(&self.orders);
+        let log = Arc::clone(&orders.log);
+        let (config, leases) = (Arc::clone(&orders.config), Arc::clone(&orders.leases));
+        tokio::spawn(snapshot::run(log, config, leases));
+        tokio::spawn(orders.run());
+        let weights = Weights::new(
+            Arc::clone(&self.config),
+            Arc::clone(&self.peers),
+            Arc::clone(&self.leases),
+            self.servers.clone(),
+            &self.client,
+            &self.metrics.meter(),
+        );
+        tokio::spawn(weights.run());
+    }
+
+    /// Starts the sessions of rounds.
+    fn start_rounds(self: &Arc<Self>) -> Arc<Rounds> {
+        let rounds = Rounds::new(
+            &self.settings,
+            &self.client,
+            Arc::clone(&self.config),
+            Arc::clone(&self.peers),
+        );
+        let rounds = Arc::new(rounds);
+        tokio::spawn(Arc::clone(&rounds).follow());
+        tokio::spawn(Arc::clone(&rounds).leave(self.drain.watch()));
+        rounds
+    }
+
     /// Leaves: hands leases on, refuses new calls, and finishes those that run.
     async fn drain(&self) {
         self.drain.leave();
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -50,7 +50,7 @@
     pub fn new(meter: &Meter) -> Self {
         let requests = meter
             .u64_counter("basillead_requests")
-            .with_description("Answered requests by tenant, kind and outcome.");
+            .with_description("Answered requests by kind and outcome.");
         let tokens = meter
             .u64_counter("basillead_tokens")
             .with_description("Tokens relayed to callers by tenant.");
@@ -97,9 +97,8 @@
     }
 
     /// Counts an answered request. `outcome` is `ok` or the refusal's kind.
-    pub fn request(&self, tenant: &str, kind: &'static str, outcome: &str) {
+    pub fn request(&self, kind: &'static str, outcome: &str) {
         let labels = [
-            KeyValue::new("tenant", tenant.to_owned()),
             KeyValue::new("kind", kind),
             KeyValue::new("outcome", outcome.to_owned()),
         ];
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -17,7 +17,7 @@
 use super::burn::Served;
 use super::choose::Work;
 use super::eject::Failure;
-use super::enter::{self, Arrival};
+use super::enter::{self, Arrival, Entered};
 use super::fair::Class;
 use super::fresh;
 use super::leak;
@@ -155,19 +155,7 @@
     call: &PlainCall,
 ) -> Result<PlainAnswer, Refusal> {
     let deadline = enter::deadline(&call.headers, route.timeout, Instant::now())?;
-    let arrival = Arrival {
-        pool: &route.pool,
-        tenant: caller.map(|caller| &caller.tenant),
-        class: Class::Live,
-        cost: CALL_COST,
-        limited: false,
-        deadline,
-    };
-    let mut entered = enter::enter(entry, arrival).await?;
-    entered.settle(CALL_COST);
-    if let Some(caller) = caller {
-        fresh::check_key(entry, &caller.digest)?;
-    }
+    let _entered = admit(entry, route, caller, deadline).await?;
     let repeat = may_repeat(route, &call.method);
     let mut avoid: Vec<ServerId> = Vec::new();
     let mut sent = false;
@@ -207,6 +195,29 @@
     ))
 }
 
+/// Waits until a call may run, with a key that is still in force.
+async fn admit(
+    entry: &Arc<Entry>,
+    route: &RouteSpec,
+    caller: Option<&Caller>,
+    deadline: Instant,
+) -> Result<Entered, Refusal> {
+    let arrival = Arrival {
+        pool: &route.pool,
+        tenant: caller.map(|caller| &caller.tenant),
+        class: Class::Live,
+        cost: CALL_COST,
+        limited: false,
+        deadline,
+    };
+    let mut entered = enter::enter(entry, arrival).await?;
+    entered.settle(CALL_COST);
+    if let Some(caller) = caller {
+        fresh::check_key(entry, &caller.digest)?;
+    }
+    Ok(entered)
+}
+
 /// Takes a retry from the entry's budget.
 fn may_retry(entry: &Entry) -> bool {
     let policy = entry.config.state().manifest.policy.retries;
--- a/src/entry/sample.rs
+++ b/src/entry/sample.rs
@@ -25,24 +25,9 @@
     let request: SampleRequest = serde_json::from_slice(body)
         .map_err(|error| Refusal::not_run(RefusalKind::Malformed, error.to_string()))?;
     let held = request.resume.len();
-    let mut segments = request.segments;
-    let job = Job {
-        id: request.id,
-        tenant: request.tenant.into(),
-        model: request.model.into(),
-        prompt: request.prompt,
-        max_tokens: request.max_tokens,
-        priority: if request.urgent {
-            PRIORITY_URGENT
-        } else {
-            PRIORITY_ROLLOUT
-        },
-        seed: Some(request.seed),
-        deadline: instant_of(request.deadline_ms),
-        version: request.version,
-        resume: request.resume,
-        avoid: request.avoid.into_iter().map(Into::into).collect(),
-    };
+    let slice = Duration::from_millis(request.slice_ms);
+    let mut segments = request.segments.clone();
+    let job = job(request);
     let tenant = job.tenant.clone();
     let left = (job.max_tokens as usize).saturating_sub(held);
     let (cost, deadline) = (enter::cost(job.prompt.len(), left), job.deadline);
@@ -67,7 +52,6 @@
         held,
         first: None,
     };
-    let slice = Duration::from_millis(request.slice_ms);
     let done = work.run(slice).await?;
     let took = work.first.map_or(Duration::ZERO, |first| first.elapsed());
     for segment in generation.segments() {
@@ -84,6 +68,26 @@
     Ok(json(StatusCode::OK, &answer))
 }
 
+fn job(request: SampleRequest) -> Job {
+    Job {
+        id: request.id,
+        tenant: request.tenant.into(),
+        model: request.model.into(),
+        prompt: request.prompt,
+        max_tokens: request.max_tokens,
+        priority: if request.urgent {
+            PRIORITY_URGENT
+        } else {
+            PRIORITY_ROLLOUT
+        },
+        seed: Some(request.seed),
+        deadline: instant_of(request.deadline_ms),
+        version: request.version,
+        resume: request.resume,
+        avoid: request.avoid.into_iter().map(Into::into).collect(),
+    }
+}
+
 /// A sample under way, with what it takes of this entry.
 struct Work<'a> {
     generation: &'a mut Generation,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -85,7 +85,7 @@
         Ok(_) => "ok".to_owned(),
         Err(refusal) => refusal.kind.to_string(),
     };
-    entry.counts.request("", page.name(), &outcome);
+    entry.counts.request(page.name(), &outcome);
     let answer = answered.unwrap_or_else(|refusal| refusal.response());
     finish(answer, &mut body).await
 }
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -58,19 +58,8 @@
         model: prompt.model.clone(),
         created: unix_ms() / 1_000,
     };
-    let job = Job {
-        id: shape.id.clone(),
-        tenant: caller.tenant.clone(),
-        model: prompt.model.into(),
-        prompt: prompt.text,
-        max_tokens: prompt.max_tokens,
-        priority: PRIORITY_LIVE,
-        seed: prompt.seed,
-        deadline,
-        version: None,
-        resume: Vec::new(),
-        avoid: Vec::new(),
-    };
+    let stream = prompt.stream;
+    let job = job(&shape, &caller, prompt, deadline);
     let most = job.max_tokens;
     let generation = Generation::new(Arc::clone(entry), job)?;
     let arrival = Arrival {
@@ -100,13 +89,29 @@
     let waited = arrived.elapsed().as_secs_f64();
     entry.counts.first_token(&relay.caller.tenant, waited);
     relay.first = Some(first);
-    if prompt.stream {
+    if stream {
         Ok(relay.into_stream())
     } else {
         relay.into_whole().await
     }
 }
 
+fn job(shape: &Shape, caller: &Caller, prompt: api::Prompt, deadline: Instant) -> Job {
+    Job {
+        id: shape.id.clone(),
+        tenant: caller.tenant.clone(),
+        model: prompt.model.into(),
+        prompt: prompt.text,
+        max_tokens: prompt.max_tokens,
+        priority: PRIORITY_LIVE,
+        seed: prompt.seed,
+        deadline,
+        version: None,
+        resume: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
 /// Relays one generation to one caller.
 struct Relay {
     entry: Arc<Entry>,
--- a/tests/suite/check.rs
+++ b/tests/suite/check.rs
@@ -129,3 +129,61 @@
     described("MANIFEST.md", &Manifest::fields());
     described("SETTINGS.md", &Settings::fields());
 }
+
+/// The names of metrics in the source files below a directory.
+fn metric_names(dir: &std::path::Path, names: &mut std::collections::BTreeSet<String>) {
+    for item in std::fs::read_dir(dir).expect("a directory") {
+        let path = item.expect("an item").path();
+        if path.is_dir() {
+            metric_names(&path, names);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("a source file");
+        let words = text
+            .split('"')
+            .filter(|word| word.starts_with("basillead_"));
+        names.extend(words.map(str::to_owned));
+    }
+}
+
+#[test]
+fn metrics_described() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(root.join("docs/METRICS.md")).expect("the page");
+    let mut names = std::collections::BTreeSet::new();
+    for dir in ["entry", "control", "peer"] {
+        metric_names(&root.join("src").join(dir), &mut names);
+    }
+    assert!(names.len() > 15, "{names:?}");
+    let is_missing = |name: &&String| !page.contains(&format!("| `{name}` |"));
+    let missing: Vec<&String> = names.iter().filter(is_missing).collect();
+    assert!(
+        missing.is_empty(),
+        "METRICS.md does not describe {missing:?}"
+    );
+}
+
+#[test]
+fn exit_statuses_described() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = std::fs::read_to_string(root.join("docs/OPERATIONS.md")).expect("the page");
+    let dir = Workdir::new("exit");
+    dir.write("bad.toml", "base = 0\ncolour = 1\n");
+    dir.write("good.toml", MANIFEST);
+    let cases = [
+        (&["check", "good.toml"][..], 0),
+        (&["check", "bad.toml"], 1),
+        (&["nothing"], 2),
+        (&["check"], 2),
+    ];
+    for (args, status) in cases {
+        let output = dir.local(args);
+        assert_eq!(
+            output.status.code(),
+            Some(status),
+            "{args:?}: {}",
+            show(&output)
+        );
+        assert!(page.contains(&format!("| {status} |")), "status {status}");
+    }
+}
--- /dev/null
+++ b/tests/suite/cost.rs
@@ -0,0 +1,113 @@
+//! What an entry costs against going straight to the stand-in engine, in one run.
+
+use std::time::{Duration, Instant};
+
+use http::{Method, Request, Response};
+use http_body_util::BodyExt as _;
+
+use basillead::http::AnswerBody;
+
+use crate::workdir::{Small, Workdir, process_ticks};
+
+/// Requests measured each way.
+const REQUESTS: usize = 400;
+/// Streams that run at a time while throughput is measured.
+const STREAMS: usize = 32;
+/// Tokens of each of them.
+const TOKENS: usize = 20_000;
+/// Clock ticks in a second.
+const TICKS: f64 = 100.0;
+
+fn request(url: &str, key: &str, body: &str) -> Request<bytes::Bytes> {
+    Request::builder()
+        .method(Method::POST)
+        .uri(url)
+        .header("authorization", format!("Bearer {key}"))
+        .header("content-type", "application/json")
+        .body(bytes::Bytes::from(body.to_owned()))
+        .expect("a request")
+}
+
+/// Sends a request and returns the time to its first piece, reading the rest.
+async fn first_piece(dir: &Workdir, request: Request<bytes::Bytes>) -> Duration {
+    let started = Instant::now();
+    let answer: Response<AnswerBody> = dir.client.send(request).await.expect("an answer");
+    assert!(answer.status().is_success(), "{}", answer.status());
+    let mut body = answer.into_body();
+    body.frame().await.expect("a piece").expect("a frame");
+    let first = started.elapsed();
+    body.collect().await.expect("the rest");
+    first
+}
+
+fn quantile(times: &mut [Duration], share: f64) -> f64 {
+    times.sort_unstable();
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a rank"
+    )]
+    let rank = ((times.len() - 1) as f64 * share) as usize;
+    times[rank].as_secs_f64() * 1e3
+}
+
+#[test]
+#[ignore = "a measurement, to be run alone"]
+fn measure_cost() {
+    let dir = Workdir::new("cost");
+    let servers = [
+        "--server",
+        "engines:engine:z0:1",
+        "--server",
+        "desk:service:z0:1",
+    ];
+    let quick = ["--token-ms", "0", "--slots", "64"];
+    let args: Vec<&str> = servers.into_iter().chain(quick).collect();
+    let small = Small::start_with(&dir, &args);
+    let list: basillead::wire::ServerList = dir.platform_get("servers");
+    let engine = list.servers.iter().find(|server| server.pool == "engines");
+    let direct = format!("http://{}/generate", engine.expect("an engine").address);
+    let entry = format!("{}/v1/completions", dir.entry_url(0));
+    let body = |tokens: usize| {
+        format!(r#"{{"model":"stroke-1","prompt":"a b c","max_tokens":{tokens},"stream":true}}"#)
+    };
+    let straight =
+        r#"{"id":"x","model":"stroke-1","prompt":"a b c","max_tokens":4,"priority":0,"resume":[]}"#;
+
+    let (mut with, mut without) = (Vec::new(), Vec::new());
+    let before = process_ticks(&small.entry);
+    dir.runtime.block_on(async {
+        for _ in 0..REQUESTS {
+            without.push(first_piece(&dir, request(&direct, "", straight)).await);
+            with.push(first_piece(&dir, request(&entry, &small.key, &body(4))).await);
+        }
+    });
+    let cpu = (process_ticks(&small.entry) - before) / TICKS;
+    let (median, p99) = (
+        quantile(&mut with, 0.5) - quantile(&mut without, 0.5),
+        quantile(&mut with, 0.99) - quantile(&mut without, 0.99),
+    );
+    println!("added to the first token: median {median:.3} ms, p99 {p99:.3} ms");
+    println!(
+        "CPU a request: {:.3} ms",
+        cpu * 1e3 / f64::from(u32::try_from(REQUESTS).expect("few"))
+    );
+
+    let before = process_ticks(&small.entry);
+    let started = Instant::now();
+    dir.runtime.block_on(async {
+        let streams =
+            (0..STREAMS).map(|_| first_piece(&dir, request(&entry, &small.key, &body(TOKENS))));
+        futures_util::future::join_all(streams).await;
+    });
+    let seconds = started.elapsed().as_secs_f64();
+    let cpu = (process_ticks(&small.entry) - before) / TICKS;
+    let tokens = f64::from(u32::try_from(STREAMS * TOKENS).expect("few"));
+    println!(
+        "{:.0} tokens/s relayed; CPU a 1,000 tokens {:.2} ms: one core relays {:.0} tokens/s",
+        tokens / seconds,
+        cpu * 1e6 / tokens,
+        tokens / cpu
+    );
+}
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod cluster;
 mod config_log;
+mod cost;
 mod drain;
 mod leak;
 mod lease;
--- a/tests/suite/slope.rs
+++ b/tests/suite/slope.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::peers::{Cluster, status};
-use crate::workdir::{MANIFEST, Process, Workdir, wait_within};
+use crate::workdir::{MANIFEST, Process, Workdir, process_ticks, wait_within};
 
 /// Time over which a daemon at rest is measured.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -29,14 +29,6 @@
 fn taken(dir: &Workdir, process: &Process, url: &str) -> Taken {
     let pid = process.0.id();
     let read = |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}")).expect("proc");
-    let stat = read("stat");
-    let fields: Vec<&str> = stat
-        .rsplit(") ")
-        .next()
-        .expect("fields")
-        .split(' ')
-        .collect();
-    let ticks = |n: usize| fields[n].parse::<f64>().expect("ticks");
     let memory = read("status");
     let rss = memory.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let rss = rss.and_then(|text| text.split_whitespace().next()?.parse().ok());
@@ -51,7 +43,7 @@
             .map_or(0.0, |line| metric(line, ""))
     };
     Taken {
-        ticks: ticks(11) + ticks(12),
+        ticks: process_ticks(process),
         rss_kb: rss.unwrap_or(0.0),
         sent: bytes("sent"),
         received: bytes("received"),
@@ -76,7 +68,7 @@
 #[test]
 #[ignore = "a measurement, to be run alone"]
 fn slope_at_rest() {
-    for count in [5, 10, 20] {
+    for count in [10, 20, 40] {
         let dir = Workdir::new("slope");
         let cluster = Cluster::start(&dir, count, 3);
         wait_within("all daemons are seen", Duration::from_secs(30), || {
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -481,3 +481,13 @@
         }
     }
 }
+
+/// Clock ticks that a process has used, in user and system mode.
+pub fn process_ticks(process: &Process) -> f64 {
+    let path = format!("/proc/{}/stat", process.0.id());
+    let stat = std::fs::read_to_string(path).expect("the process runs");
+    let (_, fields) = stat.rsplit_once(')').expect("a name in brackets");
+    let fields: Vec<&str> = fields.split_whitespace().collect();
+    let ticks = |n: usize| fields[n].parse::<f64>().expect("ticks");
+    ticks(11) + ticks(12)
+}
