Revert the lower engine priority of backlogs; test mixed requests and what reaches engines

Tests: 2,000 streamed, whole, chat, repeatable and unrepeatable requests of 8 tenants through 3 entries before 6 engines in 3 zones, each answer checked by content, each order run once (mixed_two_thousand_requests); the key test captures what reaches engines as well.

--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -74,16 +74,9 @@
     since: Instant,
     used: f64,
     room: Arc<Notify>,
-    backlog: bool,
 }
 
 impl Permit {
-    /// Whether more live requests of the tenant waited when this one was let in.
-    #[must_use]
-    pub fn has_backlog(&self) -> bool {
-        self.backlog
-    }
-
     /// States the tokens that the request took so far.
     pub fn settle(&mut self, tokens: f64) {
         self.used = tokens;
@@ -264,12 +257,10 @@
         };
         place.taken = true;
         let room = verdict?;
-        let mut state = place.gate.state.lock();
         if ask.class == Class::Rollout {
+            let mut state = place.gate.state.lock();
             state.yielding.push(Arc::clone(&room));
         }
-        let backlog = state.queue.has_backlog(ask.tenant);
-        drop(state);
         Ok(Permit {
             gate: Arc::clone(&place.gate),
             tenant: ask.tenant.clone(),
@@ -278,7 +269,6 @@
             since: Instant::now(),
             used: 0.0,
             room,
-            backlog,
         })
     }
 
--- a/src/entry/enter.rs
+++ b/src/entry/enter.rs
@@ -56,11 +56,6 @@
         self.permit.settle(used);
     }
 
-    /// Whether more live requests of the tenant waited when this one was let in.
-    pub(super) fn has_backlog(&self) -> bool {
-        self.permit.has_backlog()
-    }
-
     /// Waits until live work needs this place, which only rollout work is asked.
     pub(super) async fn room_wanted(&self) {
         self.permit.room_wanted().await;
--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -112,11 +112,6 @@
         &self.pool
     }
 
-    /// Sets the engine priority of what is sent from now on.
-    pub(super) fn set_priority(&mut self, priority: u32) {
-        self.job.priority = priority;
-    }
-
     /// All tokens so far, those held at the start included.
     pub(super) fn tokens(&self) -> &[String] {
         &self.tokens
--- a/src/entry/stream.rs
+++ b/src/entry/stream.rs
@@ -24,9 +24,6 @@
 
 /// Engine priority of live requests.
 const PRIORITY_LIVE: u32 = 0;
-/// Engine priority of live requests of a tenant that has more waiting: engines queue where
-/// several entries meet on one, and there a flood must not stand before the others.
-const PRIORITY_BACKLOG: u32 = 1;
 
 /// Answers a completion call.
 pub(super) async fn complete(
@@ -64,7 +61,7 @@
     let stream = prompt.stream;
     let job = job(&shape, &caller, prompt, deadline);
     let most = job.max_tokens;
-    let mut generation = Generation::new(Arc::clone(entry), job)?;
+    let generation = Generation::new(Arc::clone(entry), job)?;
     let arrival = Arrival {
         pool: generation.pool(),
         tenant: Some(&caller.tenant),
@@ -75,9 +72,6 @@
     };
     let entering = enter::enter(entry, arrival);
     let entered = fresh::while_valid(entry, &caller.digest, Run::NotRun, entering).await??;
-    if entered.has_backlog() {
-        generation.set_priority(PRIORITY_BACKLOG);
-    }
     let mut relay = Relay {
         tally: Tally::new(entry, &caller.tenant, most),
         entry: Arc::clone(entry),
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -19,6 +19,7 @@
 use super::loading::Loaded;
 use super::prefix::PrefixCache;
 use super::serve::{self, Answer, Served, events, json, whole};
+use super::service::ServiceRecord;
 use super::weights::WeightStore;
 
 /// Prompts with this word crash the engine that runs them.
@@ -51,6 +52,7 @@
 pub struct Engine {
     config: EngineConfig,
     store: Arc<WeightStore>,
+    record: Arc<ServiceRecord>,
     state: Mutex<State>,
     crash: mpsc::UnboundedSender<()>,
 }
@@ -77,6 +79,7 @@
     pub fn new(
         config: EngineConfig,
         store: Arc<WeightStore>,
+        record: Arc<ServiceRecord>,
         crash: mpsc::UnboundedSender<()>,
     ) -> Arc<Self> {
         let report = EngineLoad {
@@ -91,6 +94,7 @@
         Arc::new(Self {
             config,
             store,
+            record,
             crash,
             state: Mutex::new(State {
                 fail: None,
@@ -189,6 +193,7 @@
             (&Method::GET, "/load") => Ok(json(&self.state.lock().report)),
             (&Method::POST, "/generate") => {
                 let body = serve::read(body).await?;
+                self.record.note_engine(&head, &body);
                 match serde_json::from_slice(&body) {
                     Ok(request) => Ok(self.generate(request)),
                     Err(error) => Ok(whole(StatusCode::BAD_REQUEST, error.to_string())),
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -58,7 +58,7 @@
     ip: IpAddr,
     /// The weight store that engines load from.
     pub store: Arc<WeightStore>,
-    /// What plain services saw.
+    /// What reached backend servers.
     pub record: Arc<ServiceRecord>,
     pools: BTreeMap<String, PoolStandin>,
     members: Mutex<BTreeMap<String, Member>>,
@@ -119,7 +119,12 @@
                 model,
                 version,
             } => {
-                let engine = Engine::new(config, Arc::clone(&self.store), self.crasher(&id));
+                let engine = Engine::new(
+                    config,
+                    Arc::clone(&self.store),
+                    Arc::clone(&self.record),
+                    self.crasher(&id),
+                );
                 engine.set_version(&model, version);
                 let served = engine.serve(address).await?;
                 (Some(engine), served)
--- a/tests/suite/leak.rs
+++ b/tests/suite/leak.rs
@@ -29,6 +29,11 @@
             "plain body",
         );
     }
+    let asked = r#"{"model":"stroke-1","prompt":"plain prompt","max_tokens":4}"#;
+    for set in headers {
+        let url = format!("{entry}/v1/completions?key={key}");
+        dir.call(Method::POST, &url, Some(key), set, asked);
+    }
     let targets = [
         format!("{entry}/look?key={key}"),
         format!("{entry}/look?key={encoded}"),
@@ -53,6 +58,11 @@
 
     let seen: Vec<serde_json::Value> = dir.platform_get("seen");
     assert!(seen.len() > 3, "the service saw too little: {seen:?}");
+    let at_engine = |one: &&serde_json::Value| one["line"] == "POST /generate";
+    assert!(
+        seen.iter().filter(at_engine).count() > 3,
+        "the engine saw too little: {seen:?}"
+    );
     let text = serde_json::to_string(&seen).expect("JSON").to_lowercase();
     let secret = &key[4..];
     assert!(
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod leak;
 mod lease;
 mod load;
+mod mixed;
 mod once;
 mod openapi;
 mod orders;
