--- a/tests/suite/load.rs
+++ b/tests/suite/load.rs
@@ -189,7 +189,8 @@
         let dir = Workdir::new("measure");
         let bench = Bench::start(&dir, shape);
         let figures = run(&bench, seed);
-        println!("{name} policy [{}] seed {seed}: {figures}", shape.policy);
+        let policy = shape.policy.replace('\n', ", ");
+        println!("{name} policy [{policy}] seed {seed}: {figures}");
     }
 }
 
