--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -61,19 +61,14 @@
         let incarnation = Incarnation::random();
         let config = Arc::new(ConfigLog::new(log.clone()));
         let instances = Arc::new(HttpInstances::new(&client, &settings.platform.instances));
-        let leases = leases::Leases::new(
-            log.clone(),
-            instances.clone(),
-            &settings.instance,
-            &incarnation,
-        );
-        let leases = Arc::new(leases);
         let metrics = Metrics::new().map_err(std::io::Error::other)?;
+        let name = &settings.instance;
+        let leases = leases::Leases::new(log.clone(), instances.clone(), name, &incarnation);
+        let leases = Arc::new(leases);
         leases.observe(&metrics.meter());
-        let sink = Arc::new(HttpUsage::new(&client, &settings.platform.usage));
         let usage = usage::UsageWindows::new(
             log.clone(),
-            sink,
+            Arc::new(HttpUsage::new(&client, &settings.platform.usage)),
             Arc::clone(&leases),
             Arc::clone(&config),
             &metrics.meter(),
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -41,11 +41,11 @@
 use crate::rank::is_chosen;
 use crate::settings::{Listen, Settings};
 use crate::util::millis;
-use crate::wire::{Daemon, Instance, OnceAnswer, PeerMessage};
+use crate::wire::{Beat, Daemon, Digest, Instance, OnceAnswer, PeerMessage};
 
 use calls::Calls;
 use own::Counted;
-use table::DigestTable;
+use table::{DigestTable, PeerView};
 
 /// Instances that read the configuration stream; the others hear of it from peers.
 const LOG_READERS: usize = 12;
@@ -354,24 +354,34 @@
         let now = Instant::now();
         let mut rounds = link.rounds.lock();
         let at = rounds.clock.came(stamp, echo, held_ms, now);
+        self.note_digests(&mut rounds.view, digests, at, now);
+        self.note_beats(&mut rounds.view, &beats, at, now);
+        drop(rounds);
+        self.told_head(link, next, head_age_ms, at);
+    }
+
+    /// Takes digests over that were so at `at` at the earliest.
+    fn note_digests(&self, view: &mut PeerView, digests: Vec<Digest>, at: Instant, now: Instant) {
         let mut table = self.table.lock();
         for digest in digests {
-            rounds.view.note_digest(&digest);
+            view.note_digest(&digest);
             self.deny(digest.denied.iter().map(String::as_str));
             if digest.incarnation != self.me.incarnation.as_str() {
                 table.take_digest(digest, at, now);
             }
         }
+    }
+
+    /// Takes beats over that were so at `at` at the earliest.
+    fn note_beats(&self, view: &mut PeerView, beats: &[Beat], at: Instant, now: Instant) {
         let own = table::beat_id(self.me.incarnation.as_str());
-        for beat in &beats {
-            rounds.view.note_beat(beat);
+        let mut table = self.table.lock();
+        for beat in beats {
+            view.note_beat(beat);
             if beat.id != own {
                 table.take_beat(beat, at, now);
             }
         }
-        drop(table);
-        drop(rounds);
-        self.told_head(link, next, head_age_ms, at);
     }
 }
 
