--- a/src/entry/subset.rs
+++ b/src/entry/subset.rs
@@ -1,16 +1,12 @@
 //! The servers that one entry works with, by rendezvous hashing.
 
-use std::hash::{DefaultHasher, Hash as _, Hasher as _};
-
 use crate::names::{InstanceId, ServerId};
+use crate::rank::rank;
 
 /// How much an instance prefers a server; the highest are its subset.
 #[must_use]
 pub fn score(instance: &InstanceId, server: &ServerId) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    instance.as_str().hash(&mut hasher);
-    server.as_str().hash(&mut hasher);
-    hasher.finish()
+    rank(&instance.as_str(), server.as_str())
 }
 
 /// Whether each server is among the `size` that `instance` works with; 0 means all.
--- a/src/log/backoff.rs
+++ b/src/log/backoff.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::util::jittered;
+
 /// First pause; it doubles with each failure.
 const FIRST: Duration = Duration::from_millis(50);
 /// Longest pause.
@@ -27,7 +29,7 @@
 
     /// Pauses between half of the pause that is due and all of it.
     pub async fn pause(&mut self) {
-        let pause = self.next.mul_f64(rand::random_range(0.5..=1.0));
+        let pause = jittered(self.next);
         self.next = (self.next * 2).min(MAX);
         tokio::time::sleep(pause).await;
     }
--- a/src/rank.rs
+++ b/src/rank.rs
@@ -27,7 +27,9 @@
     chosen.any(|listed| listed.id == instance)
 }
 
-fn rank(duty: &impl Hash, id: &str) -> u64 {
+/// The rendezvous rank of `id` for `duty`; the lowest ones are chosen.
+#[must_use]
+pub fn rank(duty: &impl Hash, id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     (duty, id).hash(&mut hasher);
     hasher.finish()
--- a/src/standin/demo.rs
+++ b/src/standin/demo.rs
@@ -247,7 +247,10 @@
 }
 
 /// The id and the text of a streamed answer, which must end with `[DONE]`.
-fn streamed_text(body: &[u8]) -> Result<(String, String), Box<dyn std::error::Error>> {
+///
+/// # Errors
+/// It was cut, or an event holds no id or no text.
+pub fn streamed_text(body: &[u8]) -> Result<(String, String), Box<dyn std::error::Error>> {
     let text = String::from_utf8_lossy(body);
     let Some(events) = text.trim_end().strip_suffix("data: [DONE]") else {
         return Err(format!("cut: {text}").into());
@@ -259,8 +262,10 @@
         .filter_map(|line| line.strip_prefix("data: "))
     {
         let event: serde_json::Value = serde_json::from_str(event)?;
-        event["id"].as_str().unwrap_or_default().clone_into(&mut id);
-        whole.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+        let name = event["id"].as_str().ok_or("an event without an id")?;
+        let text = event["choices"][0]["text"].as_str();
+        name.clone_into(&mut id);
+        whole.push_str(text.ok_or("an event without a text")?);
     }
     Ok((id, whole))
 }
--- a/tests/suite/cost.rs
+++ b/tests/suite/cost.rs
@@ -7,7 +7,7 @@
 
 use basillead::http::AnswerBody;
 
-use crate::workdir::{Small, Workdir, process_ticks};
+use crate::workdir::{Small, Workdir, process_ticks, resident_kb};
 
 /// Requests measured each way.
 const REQUESTS: usize = 400;
@@ -115,15 +115,6 @@
 /// Streams held open while memory is measured.
 const OPEN: usize = 500;
 
-/// Resident memory of a process in KB.
-fn resident_kb(process: &crate::workdir::Process) -> f64 {
-    let path = format!("/proc/{}/status", process.0.id());
-    let status = std::fs::read_to_string(path).expect("the process runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let number = line.and_then(|line| line.split_whitespace().next());
-    number.expect("VmRSS").parse().expect("a number")
-}
-
 #[test]
 #[ignore = "a measurement, to be run alone"]
 fn measure_memory() {
--- a/tests/suite/path.rs
+++ b/tests/suite/path.rs
@@ -45,14 +45,5 @@
 
 /// The id and the text of a streamed answer, which must end with `[DONE]`.
 pub fn streamed_text(body: &[u8]) -> (String, String) {
-    let text = String::from_utf8_lossy(body);
-    let mut id = String::new();
-    let mut whole = String::new();
-    assert!(text.trim_end().ends_with("data: [DONE]"), "cut: {text}");
-    for event in text.lines().filter_map(|line| line.strip_prefix("data: {")) {
-        let event: serde_json::Value = serde_json::from_str(&format!("{{{event}")).expect("JSON");
-        event["id"].as_str().expect("an id").clone_into(&mut id);
-        whole.push_str(event["choices"][0]["text"].as_str().expect("a text"));
-    }
-    (id, whole)
+    basillead::standin::demo::streamed_text(body).expect("a whole stream")
 }
--- a/tests/suite/slope.rs
+++ b/tests/suite/slope.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::peers::{Cluster, status};
-use crate::workdir::{MANIFEST, Process, Workdir, process_ticks, wait_within};
+use crate::workdir::{MANIFEST, Process, Workdir, process_ticks, resident_kb, wait_within};
 
 /// Time over which a daemon at rest is measured.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -27,11 +27,6 @@
 }
 
 fn taken(dir: &Workdir, process: &Process, url: &str) -> Taken {
-    let pid = process.0.id();
-    let read = |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}")).expect("proc");
-    let memory = read("status");
-    let rss = memory.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let rss = rss.and_then(|text| text.split_whitespace().next()?.parse().ok());
     let page = dir.get(&format!("{url}/metrics")).expect("metrics");
     let page = String::from_utf8_lossy(page.body()).into_owned();
     let bytes = |way: &str| {
@@ -44,7 +39,7 @@
     };
     Taken {
         ticks: process_ticks(process),
-        rss_kb: rss.unwrap_or(0.0),
+        rss_kb: resident_kb(process),
         sent: bytes("sent"),
         received: bytes("received"),
     }
--- a/tests/suite/workdir.rs
+++ b/tests/suite/workdir.rs
@@ -491,3 +491,12 @@
     let ticks = |n: usize| fields[n].parse::<f64>().expect("ticks");
     ticks(11) + ticks(12)
 }
+
+/// Resident memory of a process in KB.
+pub fn resident_kb(process: &Process) -> f64 {
+    let path = format!("/proc/{}/status", process.0.id());
+    let status = std::fs::read_to_string(path).expect("the process runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next());
+    number.expect("VmRSS").parse().expect("a number")
+}
