--- /dev/null
+++ b/src/drive/item.rs
@@ -0,0 +1,256 @@
+//! Makes one sample: runs it on engines until its text is whole, then has it scored.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use http_body_util::BodyExt as _;
+use tokio::time::{sleep, timeout};
+
+use super::events::EventReader;
+use super::sample::{Fit, Misfit, Sample};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::edge::{Backend, Dispatch};
+use crate::instance::events::event;
+use crate::job::{Item, ItemEnd, Scorer};
+use crate::relay::call::{self, CallError, Outgoing};
+use crate::relay::repeat::{self, Done};
+
+/// Time without an event after which a run is given up.
+///
+/// A slow engine needs about a seventh of a second for an event; a load of weights takes one
+/// second, and more where several servers load.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// Pause before a scorer that failed is asked again.
+const SCORE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause between two calls of a scorer.
+const SCORE_PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// What a run needs to know of its job.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// The job.
+    pub job: String,
+    /// The item.
+    pub item: Item,
+    /// Host of the job's route.
+    pub host: String,
+    /// Tenant of the job.
+    pub tenant: Option<String>,
+    /// The model.
+    pub model: String,
+    /// Which weight versions may make it.
+    pub fit: Fit,
+}
+
+/// How a run on one server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The text is whole.
+    Whole,
+    /// The server did not take it.
+    NotRun,
+    /// The server is another one, or has other weights.
+    Misdirected,
+    /// The stream broke off or fell silent.
+    Broken,
+    /// The server answered with a failure of its own.
+    Failed,
+    /// The item can never be done.
+    Impossible,
+}
+
+/// Runs a task on one server; adds to `sample` and tells of each event's pace.
+pub async fn run(
+    shared: &Shared,
+    task: &Task,
+    backend: &Backend,
+    sample: &mut Sample,
+    mut paced: impl FnMut(Duration),
+) -> RunEnd {
+    let _running = shared.load.enter(&backend.id);
+    let headers = headers(&task.item, &task.host);
+    let outgoing = Outgoing {
+        method: Method::POST,
+        target: &task.item.path,
+        headers: &headers,
+        body: task.item.body.clone(),
+    };
+    let dispatch = Dispatch {
+        id: Some(&task.item.id),
+        server: &backend.id,
+        tenant: task.tenant.as_deref(),
+        left: None,
+        resume: sample.last,
+    };
+    let limit = shared.connections(&backend.service);
+    let pool = &shared.pool;
+    let sent = call::send(pool, &*shared.dialect, backend, limit, &outgoing, &dispatch);
+    let arriving = match timeout(SILENCE, sent).await {
+        Ok(Ok(arriving)) => arriving,
+        Ok(Err(error)) => {
+            event!("item_call_failed", "item" => task.item.id, "server" => backend.id,
+                "error" => error);
+            return match error {
+                CallError::Unsent { .. } | CallError::Malformed { .. } => RunEnd::NotRun,
+                _ => RunEnd::Broken,
+            };
+        }
+        Err(_) => {
+            event!("item_silent", "item" => task.item.id, "server" => backend.id);
+            return RunEnd::Broken;
+        }
+    };
+    let status = arriving.head.status;
+    if !status.is_success() || arriving.reply.stamp.is_none() {
+        return refused(task, backend, status, arriving).await;
+    }
+    stream(shared, task, backend, arriving, sample, &mut paced).await
+}
+
+async fn refused(
+    task: &Task,
+    backend: &Backend,
+    status: StatusCode,
+    arriving: call::Arriving,
+) -> RunEnd {
+    event!("item_refused", "item" => task.item.id, "server" => backend.id,
+        "status" => status.as_u16());
+    let not_run = arriving.reply.not_run;
+    // The body tells nothing more; reading it keeps the connection.
+    let _ = timeout(SILENCE, call::finish(arriving)).await;
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => RunEnd::Misdirected,
+        StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+        _ if not_run => RunEnd::NotRun,
+        status if status.is_success() => RunEnd::Broken,
+        _ => RunEnd::Failed,
+    }
+}
+
+async fn stream(
+    shared: &Shared,
+    task: &Task,
+    backend: &Backend,
+    arriving: call::Arriving,
+    sample: &mut Sample,
+    paced: &mut impl FnMut(Duration),
+) -> RunEnd {
+    let call::Arriving {
+        reply,
+        head,
+        mut body,
+        lane,
+    } = arriving;
+    let weights = backend.weights.get(&task.model).copied();
+    let mut version = reply.version.or(weights).unwrap_or_default();
+    let mut reader = EventReader::default();
+    let mut before = Boot::now();
+    loop {
+        let frame = match timeout(SILENCE, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => break,
+            Ok(Some(Err(error))) => {
+                event!("item_broken", "item" => task.item.id, "server" => backend.id,
+                    "events" => sample.data.len(), "error" => error);
+                return RunEnd::Broken;
+            }
+            Err(_) => {
+                event!("item_silent", "item" => task.item.id, "server" => backend.id,
+                    "events" => sample.data.len());
+                return RunEnd::Broken;
+            }
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        for event in reader.push(&bytes) {
+            let announced = event
+                .other
+                .iter()
+                .find_map(|line| shared.dialect.version_line(line));
+            version = announced.unwrap_or(version);
+            if let Err(misfit) = sample.add(event, version, task.fit) {
+                event!("item_misfit", "item" => task.item.id, "server" => backend.id,
+                    "version" => version, "misfit" => format!("{misfit:?}"));
+                if misfit == Misfit::Version {
+                    return RunEnd::Misdirected;
+                }
+                *sample = Sample::default();
+                return RunEnd::Broken;
+            }
+            let now = Boot::now();
+            paced(now.since(before));
+            before = now;
+        }
+    }
+    if reader.is_partial() || sample.data.is_empty() {
+        return RunEnd::Broken;
+    }
+    if !call::closes(&head) {
+        lane.keep(reply.keep);
+    }
+    RunEnd::Whole
+}
+
+fn headers(item: &Item, host: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.append(name, value);
+        } else {
+            event!("item_header", "item" => item.id, "error" => "a header is malformed");
+        }
+    }
+    if let Ok(host) = HeaderValue::from_str(host) {
+        headers.insert(header::HOST, host);
+    }
+    headers
+}
+
+/// Has a whole sample scored; gives how it ends, with the scorer's signature.
+pub async fn score(shared: &Shared, task: &Task, scorer: &Scorer) -> (ItemEnd, Option<String>) {
+    let mut failures = 0;
+    let mut pause = SCORE_PAUSE;
+    loop {
+        let deployment = shared.deployment();
+        let route = deployment
+            .as_ref()
+            .and_then(|known| known.route(&scorer.host, &scorer.path));
+        if let Some(route) = route {
+            let mut headers = HeaderMap::new();
+            if let Ok(host) = HeaderValue::from_str(&scorer.host) {
+                headers.insert(header::HOST, host);
+            }
+            let call = repeat::Job {
+                id: &scorer.id,
+                route,
+                method: Method::POST,
+                target: &scorer.path,
+                headers: &headers,
+                body: scorer.body.clone(),
+                tenant: None,
+                deadline: Boot::now() + route.timeout,
+            };
+            match repeat::run(shared, &call).await {
+                Done::Answered(answer) if answer.is_success() => {
+                    return (ItemEnd::Complete, answer.reply.stamp);
+                }
+                Done::Answered(answer) => {
+                    event!("score_failed", "item" => task.item.id, "scorer" => scorer.id,
+                        "status" => answer.whole.status().as_u16(), "failures" => failures);
+                    failures += route.attempts.max(1);
+                }
+                Done::NotRun | Done::Unknown => {
+                    event!("score_missed", "item" => task.item.id, "scorer" => scorer.id);
+                }
+            }
+            if failures >= route.attempts.max(1) {
+                return (ItemEnd::Dead, None);
+            }
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(SCORE_PAUSE_MAX);
+    }
+}
--- /dev/null
+++ b/src/drive/weights.rs
@@ -0,0 +1,275 @@
+//! Orders servers to load the weight versions that trainers name.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::StatusCode;
+use snafu::{ResultExt as _, Snafu};
+use tokio::time::sleep;
+
+use super::Driver;
+use super::waves::{Loadable, next};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::edge::{Backend, Dispatch, EngineReport, LoadMode, LoadOrder};
+use crate::instance::events::event;
+use crate::ledger::record::Subject;
+use crate::relay::call::{self, Answer, CallError, Outgoing};
+
+/// Time within which a server answers a report call or an order.
+const ANSWER: Duration = Duration::from_millis(900);
+/// Pause between two looks at a server that loads.
+const POLL: Duration = Duration::from_millis(250);
+/// Time after which a load is ordered again.
+const LOAD_MAX: Duration = Duration::from_secs(6);
+/// Pause after an order without effect.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// Weights of one start of a server, as far as this process knows better than the registry.
+#[derive(Debug, Default)]
+pub struct Weights {
+    known: RefCell<HashMap<(String, u64), Known>>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    versions: HashMap<String, u64>,
+    loading: bool,
+    rest: Boot,
+}
+
+#[derive(Debug, Snafu)]
+enum OrderError {
+    #[snafu(display("{source}"))]
+    Call { source: CallError },
+    #[snafu(display("status {status}"))]
+    Status { status: StatusCode },
+    #[snafu(display("malformed report: {detail}"))]
+    Report { detail: String },
+    #[snafu(display("the lease is not held any more"))]
+    Lease,
+    #[snafu(display("not loaded in time"))]
+    Slow,
+}
+
+impl Weights {
+    fn key(backend: &Backend) -> (String, u64) {
+        (backend.id.clone(), backend.born)
+    }
+
+    /// The weight version of a server's model.
+    #[must_use]
+    pub fn version(&self, backend: &Backend, model: &str) -> u64 {
+        let known = self.known.borrow();
+        let seen = known.get(&Self::key(backend));
+        let seen = seen.and_then(|seen| seen.versions.get(model)).copied();
+        let registered = backend.weights.get(model).copied();
+        seen.max(registered).unwrap_or(1)
+    }
+
+    /// Whether a server loads weights.
+    #[must_use]
+    pub fn is_loading(&self, backend: &Backend) -> bool {
+        let known = self.known.borrow();
+        known
+            .get(&Self::key(backend))
+            .is_some_and(|known| known.loading)
+    }
+
+    fn is_resting(&self, backend: &Backend, now: Boot) -> bool {
+        let known = self.known.borrow();
+        known
+            .get(&Self::key(backend))
+            .is_some_and(|known| now < known.rest)
+    }
+
+    fn update(&self, backend: &Backend, change: impl FnOnce(&mut Known)) {
+        change(
+            self.known
+                .borrow_mut()
+                .entry(Self::key(backend))
+                .or_default(),
+        );
+    }
+
+    /// Forgets servers that are gone.
+    pub fn retain(&self, is_live: impl Fn(&str, u64) -> bool) {
+        self.known
+            .borrow_mut()
+            .retain(|(id, born), _| is_live(id, *born));
+    }
+}
+
+/// Starts the loads of a service that are due.
+pub fn step(driver: &Rc<Driver>, service: &str) {
+    let shared = &driver.shared;
+    let now = Boot::now();
+    let subject = Subject::Service(service.to_owned());
+    if shared.held(&subject, now).is_none() || shared.leaving.get().is_some() {
+        return;
+    }
+    let Some(deployment) = shared.deployment() else {
+        return;
+    };
+    let engine = deployment
+        .services
+        .get(service)
+        .and_then(|service| service.engine.as_ref());
+    for model in engine.map_or(&[][..], |engine| &engine.models) {
+        let named = shared
+            .named
+            .borrow()
+            .get(model)
+            .copied()
+            .unwrap_or_default();
+        let fleet = shared.fleet.borrow();
+        let usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
+        let loadable = |backend: &&Rc<Backend>| Loadable {
+            version: driver.weights.version(backend, model),
+            loading: driver.weights.is_loading(backend) || driver.weights.is_resting(backend, now),
+            running: shared.load.running(&backend.id),
+        };
+        let servers: Vec<Loadable> = usable.iter().map(loadable).collect();
+        let oldest = driver.oldest(model);
+        for at in next(&servers, named, oldest) {
+            let backend = Rc::clone(usable[at]);
+            driver
+                .weights
+                .update(&backend, |known| known.loading = true);
+            let driver = Rc::clone(driver);
+            let model = model.clone();
+            tokio::task::spawn_local(async move { load(&driver, &backend, &model, named).await });
+        }
+    }
+}
+
+async fn load(driver: &Driver, backend: &Backend, model: &str, version: u64) {
+    let started = Boot::now();
+    let result = order(driver, backend, model, version).await;
+    let took = Boot::now().since(started).as_millis();
+    match result {
+        Ok(reached) => {
+            event!("weights_loaded", "server" => backend.id, "model" => model,
+                "version" => reached, "took_ms" => took);
+            driver.weights.update(backend, |known| {
+                known.versions.insert(model.to_owned(), reached);
+            });
+        }
+        Err(error) => {
+            event!("weights_failed", "server" => backend.id, "model" => model,
+                "version" => version, "took_ms" => took, "error" => error);
+            let rest = Boot::now() + RETRY;
+            driver.weights.update(backend, |known| known.rest = rest);
+        }
+    }
+    driver
+        .weights
+        .update(backend, |known| known.loading = false);
+    driver.shared.changed.notify_waiters();
+}
+
+async fn order(
+    driver: &Driver,
+    backend: &Backend,
+    model: &str,
+    version: u64,
+) -> Result<u64, OrderError> {
+    let shared = &driver.shared;
+    let report = report(shared, backend).await?;
+    let has = |report: &EngineReport| report.weights.get(model).copied().unwrap_or_default();
+    if has(&report) >= version && !report.busy {
+        return Ok(has(&report));
+    }
+    if !report.busy {
+        let single = driver.single_version(model);
+        let idle = shared.load.running(&backend.id) == 0;
+        let mode = if single || idle {
+            LoadMode::Await
+        } else {
+            LoadMode::Retain
+        };
+        send(shared, backend, model, version, mode, report.orders).await?;
+    }
+    let deadline = Boot::now() + LOAD_MAX;
+    while Boot::now() < deadline {
+        sleep(POLL).await;
+        let report = self::report(shared, backend).await?;
+        if !report.busy && has(&report) >= version {
+            return Ok(has(&report));
+        }
+    }
+    SlowSnafu.fail()
+}
+
+async fn send(
+    shared: &Shared,
+    backend: &Backend,
+    model: &str,
+    version: u64,
+    mode: LoadMode,
+    orders: u64,
+) -> Result<(), OrderError> {
+    let subject = Subject::Service(backend.service.clone());
+    let holder = shared.held(&subject, Boot::now());
+    let Some(holder) = holder.filter(|_| shared.leaving.get().is_none()) else {
+        return LeaseSnafu.fail();
+    };
+    let order = LoadOrder {
+        model,
+        version,
+        mode,
+        expected: Some(orders),
+        holder: &holder,
+        server: &backend.id,
+    };
+    event!("weights_order", "server" => backend.id, "model" => model, "version" => version,
+        "mode" => format!("{mode:?}"), "expected" => orders, "fence" => holder.fence);
+    let answer = exchange(shared, backend, shared.dialect.load(&order)).await?;
+    let status = answer.whole.status();
+    if status.is_success() {
+        return Ok(());
+    }
+    StatusSnafu { status }.fail()
+}
+
+async fn report(shared: &Shared, backend: &Backend) -> Result<EngineReport, OrderError> {
+    let answer = exchange(shared, backend, shared.dialect.report()).await?;
+    let status = answer.whole.status();
+    if !status.is_success() {
+        return StatusSnafu { status }.fail();
+    }
+    let report = shared.dialect.decode_report(answer.whole.body());
+    report.map_err(|detail| OrderError::Report { detail })
+}
+
+async fn exchange(
+    shared: &Shared,
+    backend: &Backend,
+    request: http::Request<bytes::Bytes>,
+) -> Result<Answer, OrderError> {
+    let (head, body) = request.into_parts();
+    let outgoing = Outgoing {
+        method: head.method,
+        target: head.uri.path(),
+        headers: &head.headers,
+        body,
+    };
+    let dispatch = Dispatch {
+        server: &backend.id,
+        ..Dispatch::default()
+    };
+    let limit = shared.connections(&backend.service);
+    let dialect = &*shared.dialect;
+    let call = call::exchange(
+        &shared.pool,
+        dialect,
+        backend,
+        limit,
+        &outgoing,
+        &dispatch,
+        ANSWER,
+    );
+    call.await.context(CallSnafu)
+}
--- /dev/null
+++ b/src/duty/mod.rs
@@ -0,0 +1,3 @@
+//! Duties that one instance at a time does for the platform.
+
+pub mod usage;
--- /dev/null
+++ b/src/duty/usage.rs
@@ -0,0 +1,102 @@
+//! Usage reports: a window's figures are fixed in the log before they are sent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::edge::CloudReply;
+use crate::instance::events::event;
+use crate::instance::leases::SILENCE;
+use crate::ledger::record::{Record, Subject};
+use crate::util::{millis, unix_ms};
+
+/// Time between two looks at the windows.
+const LOOK: Duration = Duration::from_millis(250);
+/// Time after a window's end until its last requests are counted.
+const SETTLE: Duration = Duration::from_millis(700);
+/// Share of the time allowed after which a window is fixed without the counters of all.
+const WAIT_SHARE: f64 = 0.7;
+/// Windows before the present one that are looked at.
+const WINDOWS_BACK: u64 = 4;
+/// Time within which a report is answered.
+const ANSWER: Duration = Duration::from_millis(900);
+
+/// Whether a window that ended `since_end` ago may be fixed.
+///
+/// `behind` tells whether a living instance has sent no counters since the window settled.
+#[must_use]
+pub fn may_fix(since_end: Duration, behind: bool, due: Duration) -> bool {
+    since_end > SETTLE && (!behind || since_end > due.mul_f64(WAIT_SHARE))
+}
+
+/// Fixes and reports windows while the lease is held, for ever.
+pub async fn run(shared: Rc<Shared>) {
+    let length = millis(shared.settings.bounds.window).max(1);
+    let mut first = None;
+    loop {
+        sleep(LOOK).await;
+        let now = unix_ms();
+        let first = *first.get_or_insert(now / length);
+        if shared.held(&Subject::Usage, Boot::now()).is_none() {
+            continue;
+        }
+        let present = now / length;
+        let start = (present.saturating_sub(WINDOWS_BACK)).max(first.saturating_sub(1));
+        for window in start..present {
+            step(&shared, window, now, length).await;
+        }
+    }
+}
+
+async fn step(shared: &Shared, window: u64, now: u64, length: u64) {
+    let fixed = shared.fold.borrow().windows.get(&window).cloned();
+    match fixed {
+        None => fix(shared, window, now, length).await,
+        Some((counts, false)) => {
+            let Some(cloud) = &shared.cloud else {
+                return;
+            };
+            let Some(holder) = shared.held(&Subject::Usage, Boot::now()) else {
+                return;
+            };
+            let reply = timeout(ANSWER, cloud.report(&holder, window, &counts)).await;
+            let reply = reply.unwrap_or(CloudReply::Later);
+            event!("usage_report", "window" => window, "fence" => holder.fence,
+                "counts" => format!("{counts:?}"), "reply" => format!("{reply:?}"));
+            if reply != CloudReply::Later {
+                drop(shared.writer.push(&Record::Reported { window }));
+                if let Some(known) = shared.fold.borrow_mut().windows.get_mut(&window) {
+                    known.1 = true;
+                }
+            }
+        }
+        Some((_, true)) => {}
+    }
+}
+
+async fn fix(shared: &Shared, window: u64, now: u64, length: u64) {
+    let end = (window + 1) * length;
+    let since_end = Duration::from_millis(now.saturating_sub(end));
+    let record = {
+        let contact = shared.contacts.borrow().ledger;
+        let fold = shared.fold.borrow();
+        let seen = contact.seen.unwrap_or_default();
+        let mut alive = fold.alive(seen, contact.since, SILENCE);
+        let behind = alive.any(|(_, member)| member.wall < end + millis(SETTLE));
+        if !may_fix(since_end, behind, shared.settings.bounds.report_due) {
+            return;
+        }
+        Record::Window {
+            window,
+            counts: fold.counted(window),
+        }
+    };
+    // The fold shows the window once it is in the log; until then nothing is sent.
+    let written = timeout(Duration::from_secs(1), shared.writer.push(&record)).await;
+    event!("usage_fixed", "window" => window, "since_end_ms" => since_end.as_millis(),
+        "written" => written.is_ok());
+    let _ = timeout(LOOK, shared.changed.notified()).await;
+}
--- /dev/null
+++ b/src/front/forward.rs
@@ -0,0 +1,170 @@
+//! Passes plain requests and streams on to backend servers.
+
+use std::collections::HashSet;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use hyper::body::{Body as HttpBody, Frame, Incoming};
+use tokio::time::timeout;
+
+use super::admit::Admitted;
+use super::handle::Call;
+use super::reply::{Body, come_back, status, whole};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::edge::Dispatch;
+use crate::instance::events::event;
+use crate::relay::call::{self, Answer, CallError, Outgoing};
+use crate::relay::choose::COME_BACK;
+use crate::relay::load::Running;
+use crate::relay::pool::Lane;
+use crate::relay::repeat::{self, Done};
+use crate::util::unix_ms;
+
+/// The instant at which a caller must have its answer.
+fn deadline(call: &Call, admitted: &Admitted) -> Boot {
+    let timeout = admitted.route.timeout;
+    call.arrived
+        + call
+            .intake
+            .patience
+            .map_or(timeout, |patience| patience.min(timeout))
+}
+
+fn target(call: &Call) -> &str {
+    call.head
+        .uri
+        .path_and_query()
+        .map_or("/", http::uri::PathAndQuery::as_str)
+}
+
+/// Passes a request on and gives the server's whole answer.
+pub async fn plain(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
+    let job = repeat::Job {
+        id: &call.intake.id,
+        route: &admitted.route,
+        method: call.head.method.clone(),
+        target: target(call),
+        headers: &call.head.headers,
+        body: call.body.clone(),
+        tenant: admitted.tenant.as_deref(),
+        deadline: deadline(call, admitted),
+    };
+    let began = unix_ms();
+    let done = repeat::run(shared, &job).await;
+    if let Some(tenant) = admitted.tenant.as_deref()
+        && !matches!(done, Done::NotRun)
+    {
+        shared.count_usage(tenant, began);
+    }
+    match done {
+        Done::Answered(answer) => pass(answer),
+        Done::NotRun => come_back(COME_BACK),
+        Done::Unknown if Boot::now() >= job.deadline => status(StatusCode::GATEWAY_TIMEOUT),
+        Done::Unknown => status(StatusCode::BAD_GATEWAY),
+    }
+}
+
+fn pass(answer: Answer) -> Response<Body> {
+    let (mut head, body) = answer.whole.into_parts();
+    call::strip_hop(&mut head.headers);
+    Response::from_parts(head, whole(body))
+}
+
+/// A stream on its way to the caller. Dropping it closes the server's connection unless the
+/// stream has ended.
+struct Relayed {
+    body: Incoming,
+    lane: Option<Lane>,
+    keep: Option<std::time::Duration>,
+    _running: Running,
+}
+
+impl HttpBody for Relayed {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if let Poll::Ready(None) = polled
+            && let Some(lane) = self.lane.take()
+        {
+            lane.keep(self.keep);
+        }
+        polled
+    }
+}
+
+/// Passes a stream on as it arrives.
+pub async fn stream(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
+    let deadline = deadline(call, admitted);
+    let outgoing = Outgoing {
+        method: call.head.method.clone(),
+        target: target(call),
+        headers: &call.head.headers,
+        body: call.body.clone(),
+    };
+    let service = admitted.route.target(rand::random());
+    let mut tried = HashSet::new();
+    let began = unix_ms();
+    loop {
+        let Some(backend) = shared.choose(service, &tried) else {
+            return come_back(COME_BACK);
+        };
+        if !tried.insert(backend.id.clone()) {
+            return come_back(COME_BACK);
+        }
+        let running = shared.load.enter(&backend.id);
+        let left = deadline.left(Boot::now());
+        let dispatch = Dispatch {
+            id: Some(&call.intake.id),
+            server: &backend.id,
+            tenant: admitted.tenant.as_deref(),
+            left: Some(left),
+            resume: None,
+        };
+        let limit = shared.connections(service);
+        let dialect = &*shared.dialect;
+        let sent = call::send(&shared.pool, dialect, &backend, limit, &outgoing, &dispatch);
+        let arriving = match timeout(left, sent).await {
+            Ok(Ok(arriving)) => arriving,
+            Ok(Err(error @ (CallError::Unsent { .. } | CallError::Malformed { .. }))) => {
+                event!("call_failed", "id" => call.intake.id, "server" => backend.id,
+                    "error" => error);
+                continue;
+            }
+            Ok(Err(error)) => {
+                event!("call_failed", "id" => call.intake.id, "server" => backend.id,
+                    "error" => error);
+                return status(StatusCode::BAD_GATEWAY);
+            }
+            Err(_) => return status(StatusCode::GATEWAY_TIMEOUT),
+        };
+        if arriving.reply.not_run || arriving.head.status == StatusCode::MISDIRECTED_REQUEST {
+            continue;
+        }
+        if let Some(tenant) = admitted.tenant.as_deref() {
+            shared.count_usage(tenant, began);
+        }
+        let call::Arriving {
+            reply,
+            mut head,
+            body,
+            lane,
+        } = arriving;
+        let keep = reply.keep.filter(|_| !call::closes(&head));
+        call::strip_hop(&mut head.headers);
+        let relayed = Relayed {
+            body,
+            lane: Some(lane),
+            keep,
+            _running: running,
+        };
+        return Response::from_parts(head, Body::Stream(Box::pin(relayed)));
+    }
+}
--- /dev/null
+++ b/src/front/jobs.rs
@@ -0,0 +1,206 @@
+//! Jobs as trainers see them: submission, results, bodies, and the end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use tokio::time::timeout;
+
+use super::admit::Admitted;
+use super::handle::Call;
+use super::reply::{Body, come_back, json, status, whole};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::events::event;
+use crate::job::{Job, JobRecord};
+use crate::ledger::record::Record;
+use crate::ledger::writer::Outcome;
+use crate::util::unix_ms;
+
+/// Time within which a record is acknowledged before the caller is told that it is not known.
+const ACCEPT: Duration = Duration::from_millis(2500);
+/// Time for which an append may be unanswered before new jobs are turned away at once.
+const STORE_STUCK: Duration = Duration::from_millis(1000);
+/// Time after which a trainer that was turned away may come back.
+const STORE_AWAY: Duration = Duration::from_millis(500);
+/// Time to wait for the log to show whether a job exists.
+const KNOWN: Duration = Duration::from_millis(1200);
+/// Bytes of one page of results.
+const PAGE_BYTES: usize = 900_000;
+/// Longest wait for a result.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+
+/// Accepts a job once it is in the log.
+pub async fn submit(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
+    let intake = &call.intake;
+    let tenant = admitted.tenant.as_deref();
+    if let Some(same) = with_job(shared, &intake.id, tenant, |_| ()) {
+        return status(if same.is_some() {
+            StatusCode::ACCEPTED
+        } else {
+            StatusCode::NOT_FOUND
+        });
+    }
+    let submission = match shared.dialect.submission(&call.body) {
+        Ok(submission) => submission,
+        Err(error) => {
+            event!("job_malformed", "job" => intake.id, "error" => error);
+            return status(StatusCode::BAD_REQUEST);
+        }
+    };
+    let stuck = shared.writer.stuck(Boot::now());
+    if stuck > STORE_STUCK {
+        event!("job_refused", "job" => intake.id, "store_stuck_ms" => stuck.as_millis());
+        return come_back(STORE_AWAY);
+    }
+    let items = submission.items.len();
+    let record = JobRecord {
+        id: intake.id.clone(),
+        host: intake.host.clone(),
+        path: intake.path.clone(),
+        tenant: tenant.map(str::to_owned),
+        submitted: unix_ms(),
+        model: submission.model,
+        min_version: submission.min_version,
+        group_target: submission.group_target,
+        items: submission.items,
+    };
+    let patience = intake.patience.unwrap_or(ACCEPT).min(ACCEPT);
+    let deadline = Boot::now() + patience;
+    let outcome = shared
+        .writer
+        .write(&Record::Job(Box::new(record)), deadline)
+        .await;
+    event!("job", "job" => intake.id, "items" => items, "outcome" => format!("{outcome:?}"));
+    match outcome {
+        Outcome::Written(_) => status(StatusCode::ACCEPTED),
+        Outcome::Unsent => come_back(STORE_AWAY),
+        Outcome::Unknown => status(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
+/// Looks at a job: none if it is not known here, and an inner none if it is another tenant's.
+fn with_job<T>(
+    shared: &Shared,
+    job: &str,
+    tenant: Option<&str>,
+    look: impl FnOnce(&Job) -> T,
+) -> Option<Option<T>> {
+    let fold = shared.fold.borrow();
+    let job = fold.jobs.get(job)?;
+    Some((job.record.tenant.as_deref() == tenant).then(|| look(job)))
+}
+
+/// Waits until a job is known, or the log shows that there is none.
+///
+/// # Errors
+/// The answer if there is no such job, or if that cannot be known.
+async fn find(shared: &Shared, job: &str, tenant: Option<&str>) -> Result<(), Box<Response<Body>>> {
+    let asked = Boot::now();
+    let deadline = asked + KNOWN;
+    loop {
+        let changed = shared.changed.notified();
+        match with_job(shared, job, tenant, |_| ()) {
+            Some(Some(())) => return Ok(()),
+            Some(None) => return Err(Box::new(status(StatusCode::NOT_FOUND))),
+            None => {}
+        }
+        let seen = shared.contacts.borrow().ledger.seen;
+        if seen.is_some_and(|seen| seen > asked) {
+            event!("job_unknown", "job" => job);
+            return Err(Box::new(status(StatusCode::NOT_FOUND)));
+        }
+        let left = deadline.left(Boot::now());
+        if left.is_zero() {
+            event!("job_unsure", "job" => job);
+            return Err(Box::new(come_back(super::admit::ELSEWHERE)));
+        }
+        // Time and contact are looked at again either way.
+        let _ = timeout(left, changed).await;
+    }
+}
+
+/// A page of a job's results.
+pub async fn results(
+    shared: &Shared,
+    job: &str,
+    after: usize,
+    wait: Duration,
+    tenant: Option<&str>,
+) -> Response<Body> {
+    if let Err(response) = find(shared, job, tenant).await {
+        return *response;
+    }
+    let deadline = Boot::now() + wait.min(WAIT_MAX);
+    loop {
+        let changed = shared.changed.notified();
+        let page = with_job(shared, job, tenant, |job| {
+            let waits = job.listed.len() <= after && !job.is_finished();
+            (page(shared, job, after), waits)
+        });
+        let Some((page, waits)) = page.flatten() else {
+            return come_back(super::admit::ELSEWHERE);
+        };
+        let left = deadline.left(Boot::now());
+        if !waits || left.is_zero() {
+            return json(page);
+        }
+        // Time and results are looked at again either way.
+        let _ = timeout(left, changed).await;
+    }
+}
+
+fn page(shared: &Shared, job: &Job, after: usize) -> Bytes {
+    let listed = job.listed.get(after..).unwrap_or_default();
+    let mut bytes = 0;
+    let fits = |result: &&Rc<crate::job::Listed>| {
+        let first = bytes == 0;
+        bytes += result.output.len() * 2 + 200;
+        first || bytes < PAGE_BYTES
+    };
+    let count = listed.iter().take_while(fits).count();
+    shared
+        .dialect
+        .results(job.record.items.len(), after, &listed[..count])
+}
+
+/// The body of an item.
+pub async fn body(shared: &Shared, job: &str, item: &str, tenant: Option<&str>) -> Response<Body> {
+    if let Err(response) = find(shared, job, tenant).await {
+        return *response;
+    }
+    let found = with_job(shared, job, tenant, |job| {
+        job.item(item).map(|item| item.body.clone())
+    });
+    match found.flatten().flatten() {
+        Some(body) => Response::new(whole(body)),
+        None => status(StatusCode::NOT_FOUND),
+    }
+}
+
+/// Ends a job.
+pub async fn end(shared: &Shared, job: &str, tenant: Option<&str>) -> Response<Body> {
+    if let Err(response) = find(shared, job, tenant).await {
+        return *response;
+    }
+    if with_job(shared, job, tenant, |job| job.ended).flatten() == Some(true) {
+        return status(StatusCode::OK);
+    }
+    let deadline = Boot::now() + ACCEPT;
+    let outcome = shared
+        .writer
+        .write(
+            &Record::End {
+                job: job.to_owned(),
+            },
+            deadline,
+        )
+        .await;
+    event!("job_end", "job" => job, "outcome" => format!("{outcome:?}"));
+    match outcome {
+        Outcome::Written(_) => status(StatusCode::OK),
+        Outcome::Unsent => come_back(STORE_AWAY),
+        Outcome::Unknown => status(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
--- /dev/null
+++ b/src/front/listen.rs
@@ -0,0 +1,168 @@
+//! The listeners: callers' requests, readiness, addresses and metrics.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::handle::handle;
+use super::reply::{Body, json, status, whole};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::directory::{TTL, addresses};
+use crate::instance::events::event;
+
+/// Time for which a connection may stay idle before the first configuration is known.
+const IDLE_DEFAULT: Duration = Duration::from_secs(15);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Listens on an address.
+///
+/// # Errors
+/// The address cannot be bound.
+pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers' requests, for ever.
+pub async fn front(shared: Rc<Shared>, listener: TcpListener) {
+    accept(listener, Rc::clone(&shared), move |request| {
+        handle(Rc::clone(&shared), request)
+    })
+    .await;
+}
+
+/// Serves the readiness check, for ever.
+pub async fn ready(shared: Rc<Shared>, listener: TcpListener) {
+    let answer = move |_: Request<Incoming>| {
+        let ready = shared.is_ready(Boot::now());
+        let code = if ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        std::future::ready(Ok(status(code)))
+    };
+    accept_small(listener, answer).await;
+}
+
+/// Serves addresses to callers, for ever.
+pub async fn directory(shared: Rc<Shared>, listener: TcpListener) {
+    let answer = move |request: Request<Incoming>| {
+        let zone = query(request.uri(), "zone").unwrap_or_default().to_owned();
+        let found = addresses(&shared, &zone);
+        let response = if found.is_empty() {
+            status(StatusCode::SERVICE_UNAVAILABLE)
+        } else {
+            let ttl = TTL.min(shared.settings.bounds.address_ttl);
+            json(shared.dialect.addresses(&found, ttl))
+        };
+        std::future::ready(Ok(response))
+    };
+    accept_small(listener, answer).await;
+}
+
+/// Serves metrics, for ever.
+pub async fn metrics(shared: Rc<Shared>, listener: TcpListener) {
+    let answer = move |_: Request<Incoming>| {
+        present(&shared);
+        std::future::ready(Ok(Response::new(whole(shared.metrics.text()))))
+    };
+    accept_small(listener, answer).await;
+}
+
+fn present(shared: &Shared) {
+    let fold = shared.fold.borrow();
+    let set = |what: &str, value: usize| {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        shared.metrics.present.with_label_values(&[what]).set(value);
+    };
+    set(
+        "jobs_open",
+        fold.jobs.iter().filter(|job| !job.is_finished()).count(),
+    );
+    set("instances_known", fold.members.len());
+    set("requests_active", shared.active.get());
+    set(
+        "connections_opened",
+        usize::try_from(shared.pool.opened()).unwrap_or(usize::MAX),
+    );
+    set("servers_known", shared.fleet.borrow().iter().count());
+}
+
+/// A value of a URI's query.
+#[must_use]
+pub fn query<'a>(uri: &'a http::Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&');
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+async fn accept<F, Fut>(listener: TcpListener, shared: Rc<Shared>, answer: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    let idle = move || {
+        shared
+            .deployment()
+            .map_or(IDLE_DEFAULT, |known| known.limits.idle)
+    };
+    serve(listener, idle, answer).await;
+}
+
+async fn accept_small<F, Fut>(listener: TcpListener, answer: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    serve(listener, || IDLE_DEFAULT, answer).await;
+}
+
+async fn serve<F, Fut>(listener: TcpListener, idle: impl Fn() -> Duration, answer: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
+    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(connection(stream, idle(), answer.clone()));
+            }
+            Err(error) => {
+                event!("accept_failed", "error" => error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<F, Fut>(stream: TcpStream, idle: Duration, answer: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + 'static,
+    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+{
+    // Only delays small packets if it fails.
+    let _ = stream.set_nodelay(true);
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .serve_connection(TokioIo::new(stream), service_fn(answer));
+    // The caller's end of the connection; each request's own outcome is logged.
+    let _ = served.await;
+}
--- /dev/null
+++ b/src/front/reply.rs
@@ -0,0 +1,85 @@
+//! Answers of the instance's own.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Debug;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// Held whole.
+    Whole(Full<Bytes>),
+    /// Passed on as it arrives.
+    Stream(#[debug(skip)] Pin<Box<dyn HttpBody<Data = Bytes, Error = hyper::Error>>>),
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Whole(body) => {
+                let polled = Pin::new(body).poll_frame(cx);
+                polled.map(|frame| frame.map(|frame| frame.map_err(|never| match never {})))
+            }
+            Self::Stream(body) => body.as_mut().poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Stream(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Stream(body) => body.size_hint(),
+        }
+    }
+}
+
+/// A whole body.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Body::Whole(Full::new(bytes.into()))
+}
+
+/// An answer with a status and no content.
+#[must_use]
+pub fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer that states that the request has not run, and when to come back.
+#[must_use]
+pub fn come_back(after: Duration) -> Response<Body> {
+    let mut response = status(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = format!("{:.2}", after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    response
+}
+
+/// An answer with a JSON body.
+#[must_use]
+pub fn json(bytes: Bytes) -> Response<Body> {
+    let mut response = Response::new(whole(bytes));
+    let value = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/src/instance/beat.rs
@@ -0,0 +1,64 @@
+//! Signs of life of this instance in the log; they renew its leases.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::Shared;
+use crate::boot::Boot;
+use crate::ledger::record::{Beat, Record, Subject};
+use crate::util::{millis, unix_ms};
+
+/// Time between two signs of life of an instance that holds a lease.
+const HOLDER_PACE: Duration = Duration::from_millis(400);
+/// Time between two signs of life of another instance.
+pub const PACE: Duration = Duration::from_millis(800);
+/// Usage windows whose counters are sent along.
+const WINDOWS_SENT: u64 = 4;
+
+/// Writes signs of life, for ever.
+pub async fn run(shared: Rc<Shared>) {
+    loop {
+        let leases = own_leases(&shared);
+        let pace = if leases.is_empty() { PACE } else { HOLDER_PACE };
+        let due = Boot::now() + pace;
+        let beat = beat(&shared, leases.clone());
+        // The next one waits for this one, so that none pile up while the store is away.
+        if let Ok(sent) = shared.writer.push(&Record::Beat(beat)).await {
+            let mut renewed = shared.renewed.borrow_mut();
+            renewed.clear();
+            renewed.extend(leases.values().map(|fence| (*fence, sent)));
+        }
+        let left = due.left(Boot::now());
+        // Whichever comes first.
+        let _ = timeout(left, shared.beat.notified()).await;
+    }
+}
+
+fn own_leases(shared: &Shared) -> BTreeMap<Subject, u64> {
+    let fold = shared.fold.borrow();
+    let leases = fold.leases.iter();
+    let own =
+        leases.filter(|(_, lease)| lease.incarnation == shared.incarnation && !lease.released);
+    own.map(|(subject, lease)| (subject.clone(), lease.fence))
+        .collect()
+}
+
+fn beat(shared: &Shared, leases: BTreeMap<Subject, u64>) -> Beat {
+    let wall = unix_ms();
+    let window = wall / millis(shared.settings.bounds.window).max(1);
+    let mut usage = shared.usage.borrow_mut();
+    *usage = usage.split_off(&window.saturating_sub(WINDOWS_SENT));
+    Beat {
+        node: shared.settings.name.clone(),
+        incarnation: shared.incarnation.clone(),
+        front: shared.settings.front,
+        zone: shared.settings.zone.clone(),
+        ready: shared.is_ready(Boot::now()),
+        wall,
+        leases,
+        counts: usage.clone(),
+    }
+}
--- /dev/null
+++ b/src/instance/follow.rs
@@ -0,0 +1,217 @@
+//! Follows the three streams of the store by long polls.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::Shared;
+use super::edge::{OperatorNews, Page, ServerNews, StoreError};
+use super::events::event;
+use crate::boot::Boot;
+use crate::ledger::record::Decoder;
+
+/// Time for which the store holds a read until there is something new.
+///
+/// Half a second bounds the age of what an instance knows, at two calls a second.
+const HOLD: Duration = Duration::from_millis(500);
+/// Time beyond the hold after which a read is given up and its connection closed.
+const ANSWER: Duration = Duration::from_millis(900);
+/// Pause between two reads of the log, so that records gather.
+const LEDGER_PACE: Duration = Duration::from_millis(40);
+/// Pause between two reads of the registry, whose entries change about every second.
+const SERVERS_PACE: Duration = Duration::from_millis(250);
+/// Pause after a read that failed.
+const FAILED_PACE: Duration = Duration::from_millis(120);
+
+/// Says once that a stream was lost or regained.
+struct Watch {
+    stream: &'static str,
+    lost: bool,
+}
+
+impl Watch {
+    fn new(stream: &'static str) -> Self {
+        Self {
+            stream,
+            lost: false,
+        }
+    }
+
+    fn failed(&mut self, error: &dyn std::fmt::Display) {
+        if !std::mem::replace(&mut self.lost, true) {
+            event!("store_lost", "stream" => self.stream, "error" => error);
+        }
+    }
+
+    fn answered(&mut self) {
+        if std::mem::take(&mut self.lost) {
+            event!("store_regained", "stream" => self.stream);
+        }
+    }
+}
+
+/// Waits for a read; a read without an answer is an error like any other.
+async fn read<T>(
+    call: impl Future<Output = Result<Page<T>, StoreError>>,
+) -> Result<Page<T>, StoreError> {
+    let unanswered = || StoreError::Unanswered {
+        detail: "time is up".to_owned(),
+    };
+    timeout(HOLD + ANSWER, call)
+        .await
+        .unwrap_or_else(|_| Err(unanswered()))
+}
+
+/// Follows what operators and trainers write.
+pub async fn operator(shared: Rc<Shared>) {
+    let mut watch = Watch::new("operator");
+    let mut next = None;
+    loop {
+        let sent = Boot::now();
+        match read(shared.store.operator(next, HOLD)).await {
+            Ok(page) => {
+                watch.answered();
+                for (_, news) in page.items {
+                    take_operator(&shared, news);
+                }
+                next = Some(page.next);
+                if page.next >= page.end {
+                    shared
+                        .contacts
+                        .borrow_mut()
+                        .operator
+                        .note(sent, Boot::now());
+                }
+            }
+            Err(error) => {
+                watch.failed(&error);
+                if matches!(error, StoreError::Expired { .. }) {
+                    next = None;
+                }
+                sleep(FAILED_PACE).await;
+            }
+        }
+    }
+}
+
+fn take_operator(shared: &Shared, news: OperatorNews) {
+    match news {
+        OperatorNews::Deployment(deployment) => {
+            let known = shared.deployment().map_or(0, |known| known.version);
+            if shared.deployment().is_none() || deployment.version > known {
+                event!("configuration", "version" => deployment.version, "before" => known,
+                    "routes" => deployment.routes.len());
+                *shared.deployment.borrow_mut() = Some(Rc::new(*deployment));
+                shared.changed.notify_waiters();
+            }
+        }
+        OperatorNews::Weights { model, version } => {
+            let mut named = shared.named.borrow_mut();
+            let known = named.entry(model.clone()).or_default();
+            if version > *known {
+                event!("weights_named", "model" => model, "version" => version);
+                *known = version;
+                drop(named);
+                shared.changed.notify_waiters();
+            }
+        }
+        OperatorNews::Unreadable(reason) => event!("operator_unreadable", "reason" => reason),
+    }
+}
+
+/// Follows the registry of backend servers.
+pub async fn servers(shared: Rc<Shared>) {
+    let mut watch = Watch::new("servers");
+    let mut next = None;
+    loop {
+        let sent = Boot::now();
+        match read(shared.store.servers(next, HOLD)).await {
+            Ok(page) => {
+                watch.answered();
+                next = Some(page.next);
+                let now = Boot::now();
+                if page.next >= page.end {
+                    shared.contacts.borrow_mut().servers.note(sent, now);
+                }
+                take_servers(&shared, page, now);
+                sleep(SERVERS_PACE).await;
+            }
+            Err(error) => {
+                watch.failed(&error);
+                if matches!(error, StoreError::Expired { .. }) {
+                    next = None;
+                }
+                sleep(FAILED_PACE).await;
+            }
+        }
+    }
+}
+
+fn take_servers(shared: &Shared, page: Page<ServerNews>, now: Boot) {
+    let contact = shared.contacts.borrow().servers;
+    let mut fleet = shared.fleet.borrow_mut();
+    if page.snapshot {
+        let ids: Vec<String> = page.items.iter().map(|(_, news)| news.id.clone()).collect();
+        fleet.keep(&ids, &contact, now);
+    }
+    for (_, news) in page.items {
+        let before = fleet.get(&news.id).map(|known| (known.state, known.born));
+        let after = news.entry.as_ref().map(|entry| (entry.state, entry.born));
+        if before != after {
+            let text = |state| format!("{state:?}");
+            event!("server", "server" => news.id, "before" => text(before), "after" => text(after));
+        }
+        fleet.apply(news, &contact, now);
+    }
+    fleet.prune(now);
+    shared
+        .pool
+        .retain(|id, born| fleet.get(id).is_some_and(|known| known.born == born));
+    shared.load.retain(|id| fleet.get(id).is_some());
+    drop(fleet);
+    shared.changed.notify_waiters();
+}
+
+/// Follows the instances' log.
+pub async fn ledger(shared: Rc<Shared>) {
+    let mut watch = Watch::new("ledger");
+    let mut decoder = Decoder::default();
+    let mut next = 0;
+    loop {
+        let sent = Boot::now();
+        match read(shared.store.ledger(next, HOLD)).await {
+            Ok(page) => {
+                watch.answered();
+                let now = Boot::now();
+                let is_empty = page.items.is_empty();
+                for (offset, piece) in page.items {
+                    match decoder.push(&piece) {
+                        Ok(Some(record)) => {
+                            shared.fold.borrow_mut().apply(record, offset, now);
+                        }
+                        Ok(None) => {}
+                        Err(error) => event!("record", "offset" => offset, "error" => error),
+                    }
+                }
+                next = page.next;
+                if page.next >= page.end {
+                    shared.contacts.borrow_mut().ledger.note(sent, now);
+                }
+                shared.changed.notify_waiters();
+                if !is_empty {
+                    sleep(LEDGER_PACE).await;
+                }
+            }
+            Err(StoreError::Expired { first }) => {
+                event!("records_expired", "from" => next, "first" => first);
+                decoder = Decoder::default();
+                next = first;
+            }
+            Err(error) => {
+                watch.failed(&error);
+                sleep(FAILED_PACE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/metrics.rs
@@ -0,0 +1,73 @@
+//! Counters and latency histograms of an instance, as Prometheus text.
+
+use std::time::Duration;
+
+use prometheus::{
+    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Upper bounds of the latency histograms' buckets, in seconds.
+const BUCKETS: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+/// Metrics of one process.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Callers' requests by route and outcome.
+    pub requests: IntCounterVec,
+    /// Time to the answer, by route.
+    pub latency: HistogramVec,
+    /// Items by how a run ended.
+    pub items: IntCounterVec,
+    /// Present values: jobs open, items running, instances alive, connections opened.
+    pub present: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Metrics that are all zero.
+    ///
+    /// # Errors
+    /// A metric's name is not valid.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let requests = Opts::new("basillead_requests_total", "Callers' requests");
+        let requests = IntCounterVec::new(requests, &["route", "outcome"])?;
+        let latency = HistogramOpts::new("basillead_request_seconds", "Time to the answer")
+            .buckets(BUCKETS.to_vec());
+        let latency = HistogramVec::new(latency, &["route"])?;
+        let items = Opts::new("basillead_items_total", "Runs of items by their end");
+        let items = IntCounterVec::new(items, &["end"])?;
+        let present = Opts::new("basillead_present", "Present values");
+        let present = IntGaugeVec::new(present, &["what"])?;
+        registry.register(Box::new(requests.clone()))?;
+        registry.register(Box::new(latency.clone()))?;
+        registry.register(Box::new(items.clone()))?;
+        registry.register(Box::new(present.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            latency,
+            items,
+            present,
+        })
+    }
+
+    /// Notes the end of a caller's request.
+    pub fn request(&self, route: &str, outcome: &str, took: Duration) {
+        self.requests.with_label_values(&[route, outcome]).inc();
+        self.latency
+            .with_label_values(&[route])
+            .observe(took.as_secs_f64());
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            super::events::event!("metrics_failed", "error" => error);
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
--- /dev/null
+++ b/src/instance/mod.rs
@@ -0,0 +1,198 @@
+//! One process of an instance on a platform: callers' requests, jobs, and duties under leases.
+
+pub mod beat;
+pub mod contact;
+pub mod deployment;
+pub mod directory;
+pub mod edge;
+pub mod events;
+pub mod fleet;
+pub mod follow;
+pub mod leases;
+pub mod metrics;
+pub mod run;
+pub mod settings;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::boot::Boot;
+use crate::ledger::fold::Fold;
+use crate::ledger::record::{Counts, Incarnation, Subject};
+use crate::ledger::writer::Writer;
+use crate::relay::choose::{Candidate, choose};
+use crate::relay::load::Load;
+use crate::relay::pool::Pool;
+use contact::Contact;
+use deployment::Deployment;
+use edge::{Backend, Cloud, Dialect, Holder, Store};
+use fleet::Fleet;
+use metrics::Metrics;
+use settings::InstanceSettings;
+
+/// What the withdrawal bound is shortened by, for a request that is just being read.
+const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
+
+/// Contact with each stream of the store.
+#[derive(Debug, Default)]
+pub struct Contacts {
+    /// What operators write.
+    pub operator: Contact,
+    /// The registry of backend servers.
+    pub servers: Contact,
+    /// The instances' log.
+    pub ledger: Contact,
+}
+
+/// State that all tasks of the process share.
+#[derive(Debug)]
+pub struct Shared {
+    /// Settings.
+    pub settings: InstanceSettings,
+    /// This start of the process.
+    pub incarnation: Incarnation,
+    /// The platform's store.
+    pub store: Rc<dyn Store>,
+    /// The platform's interface for duties.
+    pub cloud: Option<Rc<dyn Cloud>>,
+    /// Translation of messages.
+    pub dialect: Rc<dyn Dialect>,
+    /// The configuration in force.
+    pub deployment: RefCell<Option<Rc<Deployment>>>,
+    /// Weight versions that trainers named, by model.
+    pub named: RefCell<BTreeMap<String, u64>>,
+    /// Backend servers.
+    pub fleet: RefCell<Fleet>,
+    /// The state folded from the instances' log.
+    pub fold: RefCell<Fold>,
+    /// Contact with the store.
+    pub contacts: RefCell<Contacts>,
+    /// Told when the fold, the fleet, the named versions or the configuration changed.
+    pub changed: Notify,
+    /// Told when a sign of life is due at once.
+    pub beat: Notify,
+    /// Appends to the instances' log.
+    pub writer: Writer,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Load of backend servers as seen here.
+    pub load: Load,
+    /// Requests that began to run, by usage window and tenant.
+    pub usage: RefCell<BTreeMap<u64, Counts>>,
+    /// When the last confirmed renewal of each held lease was sent, by fencing number.
+    pub renewed: RefCell<HashMap<u64, Boot>>,
+    /// Since when the process has been leaving.
+    pub leaving: Cell<Option<Boot>>,
+    /// Callers' requests under way.
+    pub active: Cell<usize>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+}
+
+impl Shared {
+    /// The configuration in force, if there is one.
+    #[must_use]
+    pub fn deployment(&self) -> Option<Rc<Deployment>> {
+        self.deployment.borrow().clone()
+    }
+
+    /// Whether no key can have been withdrawn for longer than the bound without being known.
+    #[must_use]
+    pub fn is_fresh(&self, now: Boot) -> bool {
+        let age = self
+            .settings
+            .bounds
+            .withdrawal
+            .saturating_sub(WITHDRAWAL_MARGIN);
+        self.contacts.borrow().operator.is_within(age, now)
+    }
+
+    /// Whether this instance takes callers' requests.
+    #[must_use]
+    pub fn is_ready(&self, now: Boot) -> bool {
+        let known = self.deployment.borrow().is_some();
+        let heard = self.contacts.borrow().ledger.seen.is_some();
+        known && heard && self.is_fresh(now) && self.leaving.get().is_none()
+    }
+
+    /// Whether the log has this process as a lease's holder, in time or not.
+    #[must_use]
+    pub fn leads(&self, subject: &Subject) -> bool {
+        let fold = self.fold.borrow();
+        let lease = fold.leases.get(subject);
+        lease.is_some_and(|lease| lease.incarnation == self.incarnation && !lease.released)
+    }
+
+    /// The lease of a subject, if it may be used at `now`.
+    #[must_use]
+    pub fn held(&self, subject: &Subject, now: Boot) -> Option<Holder> {
+        let fold = self.fold.borrow();
+        let lease = fold.leases.get(subject)?;
+        let renewed = *self.renewed.borrow().get(&lease.fence)?;
+        let span = self.settings.bounds.lease;
+        let held = crate::ledger::lease::is_held(lease, &self.incarnation, renewed, now, span);
+        held.then(|| Holder {
+            name: self.settings.name.clone(),
+            fence: lease.fence,
+        })
+    }
+
+    /// A server of a service for a plain request, other than those tried if there is one.
+    #[must_use]
+    pub fn choose(&self, service: &str, tried: &HashSet<String>) -> Option<Rc<Backend>> {
+        let now = Boot::now();
+        let fleet = self.fleet.borrow();
+        let usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
+        let candidate = |backend: &&Rc<Backend>| Candidate {
+            running: self.load.running(&backend.id),
+            slots: backend.slots,
+            near: backend.zone == self.settings.zone,
+            suspect: self.load.is_suspect(&backend.id, now),
+            tried: tried.contains(&backend.id),
+        };
+        let candidates: Vec<Candidate> = usable.iter().map(candidate).collect();
+        choose(&candidates, rand::random()).map(|at| Rc::clone(usable[at]))
+    }
+
+    /// Servers of a service that may be used.
+    #[must_use]
+    pub fn count(&self, service: &str) -> usize {
+        self.fleet.borrow().usable(service, Boot::now()).count()
+    }
+
+    /// Connections that this instance may open to one server of a service.
+    ///
+    /// Instances share what a server accepts; an engine's servers are driven by one of them.
+    #[must_use]
+    pub fn connections(&self, service: &str) -> usize {
+        let deployment = self.deployment.borrow();
+        let service = deployment
+            .as_ref()
+            .and_then(|known| known.services.get(service));
+        let Some(service) = service else {
+            return 1;
+        };
+        let members = self.fold.borrow().members.len().max(1);
+        let share = service.connections / (members + 1);
+        if service.engine.is_some() {
+            service.connections / 2
+        } else {
+            share.max(2)
+        }
+    }
+
+    /// Counts a request that began to run at Unix time `wall`, in milliseconds.
+    pub fn count_usage(&self, tenant: &str, wall: u64) {
+        let window = wall / crate::util::millis(self.settings.bounds.window).max(1);
+        let mut usage = self.usage.borrow_mut();
+        *usage
+            .entry(window)
+            .or_default()
+            .entry(tenant.to_owned())
+            .or_default() += 1;
+    }
+}
--- /dev/null
+++ b/src/instance/run.rs
@@ -0,0 +1,178 @@
+//! Starts an instance's tasks, and ends them in order after SIGTERM.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use snafu::{ResultExt as _, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use super::edge::{Cloud, Dialect, Store};
+use super::events::{self, event};
+use super::metrics::Metrics;
+use super::settings::InstanceSettings;
+use super::{Contacts, Shared, beat, directory, follow, leases};
+use crate::boot::Boot;
+use crate::drive::Driver;
+use crate::duty::usage;
+use crate::front::listen;
+use crate::ledger::fold::Fold;
+use crate::ledger::record::Incarnation;
+use crate::ledger::writer::Writer;
+use crate::relay::load::Load;
+use crate::relay::pool::Pool;
+use crate::util::{random_id, stop_signal, unix_ms};
+
+/// Time of the grace period that is left for the process to end.
+const END_MARGIN: Duration = Duration::from_millis(900);
+/// An address answer may be kept for this many times its life.
+const KEPT_FOR: u32 = 3;
+/// Time between two looks at what is still under way.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time between two rounds of forgetting old jobs.
+const PRUNE: Duration = Duration::from_secs(5);
+/// Time beyond the stated one for which a job is kept.
+const JOB_MARGIN: Duration = Duration::from_secs(10);
+
+/// Why an instance cannot start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The metrics cannot be set up.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: prometheus::Error,
+    },
+    /// The signal handlers cannot be set.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// The cause.
+        source: std::io::Error,
+    },
+}
+
+/// The platform as an instance meets it.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    /// Its store.
+    pub store: Rc<dyn Store>,
+    /// Its interface for duties.
+    pub cloud: Option<Rc<dyn Cloud>>,
+    /// Translation of messages.
+    pub dialect: Rc<dyn Dialect>,
+}
+
+/// Runs an instance until SIGTERM. Must be called inside a `LocalSet`.
+///
+/// # Errors
+/// [`StartError`].
+pub async fn run(settings: InstanceSettings, platform: Platform) -> Result<(), StartError> {
+    events::init();
+    let shared = shared(settings, platform)?;
+    event!("start", "instance" => shared.settings.name, "incarnation" => shared.incarnation,
+        "zone" => shared.settings.zone);
+    listen_all(&shared)?;
+    spawn_local(follow::operator(Rc::clone(&shared)));
+    spawn_local(follow::servers(Rc::clone(&shared)));
+    spawn_local(follow::ledger(Rc::clone(&shared)));
+    let writer = shared.writer.clone();
+    let call_bytes = shared.settings.call_bytes;
+    spawn_local(writer.run(
+        Rc::clone(&shared.store),
+        shared.incarnation.clone(),
+        call_bytes,
+    ));
+    spawn_local(beat::run(Rc::clone(&shared)));
+    spawn_local(leases::run(Rc::clone(&shared)));
+    spawn_local(Driver::new(Rc::clone(&shared)).run());
+    spawn_local(prune(Rc::clone(&shared)));
+    if shared.settings.duties.usage {
+        spawn_local(usage::run(Rc::clone(&shared)));
+    }
+    stop_signal().await.context(SignalsSnafu)?;
+    leave(&shared).await;
+    Ok(())
+}
+
+fn shared(settings: InstanceSettings, platform: Platform) -> Result<Rc<Shared>, StartError> {
+    Ok(Rc::new(Shared {
+        writer: Writer::new(settings.record_bytes),
+        settings,
+        incarnation: Incarnation(random_id()),
+        store: platform.store,
+        cloud: platform.cloud,
+        dialect: platform.dialect,
+        deployment: RefCell::default(),
+        named: RefCell::default(),
+        fleet: RefCell::default(),
+        fold: RefCell::new(Fold::default()),
+        contacts: RefCell::new(Contacts::default()),
+        changed: Notify::new(),
+        beat: Notify::new(),
+        pool: Pool::default(),
+        load: Load::default(),
+        usage: RefCell::default(),
+        renewed: RefCell::default(),
+        leaving: Cell::new(None),
+        active: Cell::new(0),
+        metrics: Metrics::new().context(MetricsSnafu)?,
+    }))
+}
+
+fn listen_all(shared: &Rc<Shared>) -> Result<(), StartError> {
+    let bind = |address| listen::bind(address).context(BindSnafu { address });
+    let settings = &shared.settings;
+    if let Some(address) = settings.front {
+        let listener: TcpListener = bind(address)?;
+        spawn_local(listen::front(Rc::clone(shared), listener));
+    }
+    if let Some(address) = settings.ready {
+        spawn_local(listen::ready(Rc::clone(shared), bind(address)?));
+    }
+    if let Some(address) = settings.directory {
+        spawn_local(listen::directory(Rc::clone(shared), bind(address)?));
+    }
+    if let Some(address) = settings.metrics {
+        spawn_local(listen::metrics(Rc::clone(shared), bind(address)?));
+    }
+    Ok(())
+}
+
+async fn prune(shared: Rc<Shared>) {
+    loop {
+        sleep(PRUNE).await;
+        let kept = shared.settings.bounds.job_kept + JOB_MARGIN;
+        shared.fold.borrow_mut().jobs.prune(unix_ms(), kept);
+    }
+}
+
+/// Serves on while callers may still come, then ends.
+async fn leave(shared: &Rc<Shared>) {
+    let now = Boot::now();
+    shared.leaving.set(Some(now));
+    event!("stop", "active" => shared.active.get());
+    leases::release(shared);
+    shared.beat.notify_one();
+    let last = now + shared.settings.bounds.grace.saturating_sub(END_MARGIN);
+    let expected = (now + directory::TTL * KEPT_FOR).min(last);
+    loop {
+        sleep(LOOK).await;
+        let now = Boot::now();
+        let idle = shared.active.get() == 0 && shared.writer.is_idle();
+        if now >= last || (now >= expected && idle) {
+            break;
+        }
+    }
+    event!("end", "active" => shared.active.get());
+}
--- /dev/null
+++ b/src/instance/settings.rs
@@ -0,0 +1,64 @@
+//! Settings of an instance on a platform, with the bounds that the platform states.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct InstanceSettings {
+    /// Name of the instance.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Regions by availability zone.
+    pub regions: BTreeMap<String, String>,
+    /// Address for callers' requests.
+    pub front: Option<SocketAddr>,
+    /// Address of the readiness check.
+    pub ready: Option<SocketAddr>,
+    /// Address for callers who ask where to connect.
+    pub directory: Option<SocketAddr>,
+    /// Address of the metrics page.
+    pub metrics: Option<SocketAddr>,
+    /// Bounds of the platform.
+    pub bounds: Bounds,
+    /// Duties of one instance at a time.
+    pub duties: Duties,
+    /// Bytes of one record of the store.
+    pub record_bytes: usize,
+    /// Bytes of one call to the store.
+    pub call_bytes: usize,
+}
+
+/// Bounds that the platform states; each is a length of time.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// A withdrawn key may be honoured for this long.
+    pub withdrawal: Duration,
+    /// A configuration is in force everywhere after this long.
+    pub apply: Duration,
+    /// A process ends within this long after SIGTERM.
+    pub grace: Duration,
+    /// A leaving backend server may be sent requests for this long.
+    pub drain: Duration,
+    /// A lease holder must have been unheard for this long before another takes over.
+    pub lease: Duration,
+    /// Length of a usage window.
+    pub window: Duration,
+    /// A usage report is due this long after its window's end.
+    pub report_due: Duration,
+    /// An address answer holds for at most this long.
+    pub address_ttl: Duration,
+    /// Batch jobs stay readable this long after their submission.
+    pub job_kept: Duration,
+}
+
+/// Which duties the platform wants done.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Duties {
+    /// Usage reports.
+    pub usage: bool,
+    /// Orders for backend servers.
+    pub scale: bool,
+}
--- /dev/null
+++ b/src/job/place.rs
@@ -0,0 +1,44 @@
+//! Which backend server takes a waiting item.
+//!
+//! The load pattern: a whole round arrives at once, its groups share prompts, and some
+//! servers are slow. Items of a group go where its prompt was read already; otherwise the
+//! fastest server with the most room takes the item.
+
+/// Slowdown from which on a server is no longer worth a shared prompt.
+const SLOW: f64 = 1.6;
+
+/// A backend server that may take an item.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seat<'a> {
+    /// The server.
+    pub id: &'a str,
+    /// Free slots.
+    pub free: usize,
+    /// Slots in all; at least one.
+    pub slots: usize,
+    /// Weight version of the item's model.
+    pub version: u64,
+    /// Time of an event against the median server's.
+    pub pace: f64,
+}
+
+/// Chooses among the seats for an item of a group whose prompt `home` has read.
+#[must_use]
+pub fn place(seats: &[Seat<'_>], home: Option<&str>, min_version: u64) -> Option<usize> {
+    let fits = |seat: &Seat<'_>| seat.free > 0 && seat.version >= min_version;
+    let own = seats.iter().position(|seat| Some(seat.id) == home);
+    if let Some(own) = own.filter(|at| fits(&seats[*at]) && seats[*at].pace < SLOW) {
+        return Some(own);
+    }
+    let fitting = seats.iter().enumerate().filter(|(_, seat)| fits(seat));
+    let best = fitting.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+    best.map(|(at, _)| at)
+}
+
+/// Expected time of an item: the server's pace, and more with each slot taken.
+fn cost(seat: &Seat<'_>) -> f64 {
+    let taken = seat.slots.saturating_sub(seat.free);
+    let load = f64::from(u32::try_from(taken).unwrap_or(u32::MAX))
+        / f64::from(u32::try_from(seat.slots.max(1)).unwrap_or(u32::MAX));
+    seat.pace * (1.0 + load)
+}
--- /dev/null
+++ b/src/ledger/record.rs
@@ -0,0 +1,150 @@
+//! Records of the instances' log, and their framing.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use derive_more::{AsRef, Display, From};
+use serde::{Deserialize, Serialize};
+
+use crate::job::{JobRecord, Listed};
+
+/// One start of an instance's process.
+#[derive(
+    AsRef, Clone, Debug, Deserialize, Display, Eq, From, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[as_ref(str)]
+pub struct Incarnation(pub String);
+
+/// What a lease is about.
+#[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Subject {
+    /// Usage reports.
+    #[display("usage")]
+    Usage,
+    /// Jobs, weights and backend servers of a service.
+    #[display("service/{_0}")]
+    Service(String),
+}
+
+/// Requests by tenant.
+pub type Counts = BTreeMap<String, u64>;
+
+/// A sign of life, which renews the leases that its writer holds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// Name of the instance.
+    pub node: String,
+    /// The writer.
+    pub incarnation: Incarnation,
+    /// Where callers connect.
+    pub front: Option<SocketAddr>,
+    /// Availability zone.
+    pub zone: String,
+    /// Whether callers may be sent there.
+    pub ready: bool,
+    /// Unix time in milliseconds at which it was written.
+    pub wall: u64,
+    /// Leases held, with their fencing numbers.
+    pub leases: BTreeMap<Subject, u64>,
+    /// Requests that began to run, by usage window, since the start of the process.
+    pub counts: BTreeMap<u64, Counts>,
+}
+
+/// A record of the log.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Record {
+    /// A sign of life.
+    Beat(Beat),
+    /// Claims a lease; it counts only if nobody renewed the lease in between.
+    Claim {
+        /// What the lease is about.
+        subject: Subject,
+        /// The claimant.
+        incarnation: Incarnation,
+        /// Offset of the last claim or renewal that the claimant knows of.
+        succeeds: Option<u64>,
+    },
+    /// Gives a lease up.
+    Release {
+        /// What the lease is about.
+        subject: Subject,
+        /// Its fencing number.
+        fence: u64,
+    },
+    /// Accepts a job.
+    Job(Box<JobRecord>),
+    /// Lists the result of an item.
+    Listed {
+        /// The job.
+        job: String,
+        /// The result.
+        result: Listed,
+    },
+    /// Ends a job.
+    End {
+        /// The job.
+        job: String,
+    },
+    /// Fixes the figures of a usage window.
+    Window {
+        /// Number of the window.
+        window: u64,
+        /// Its figures.
+        counts: Counts,
+    },
+    /// A window's figures were taken by the platform.
+    Reported {
+        /// Number of the window.
+        window: u64,
+    },
+}
+
+/// Marks a record that stands in one piece, or the last piece of one.
+const LAST: u8 = 0;
+/// Marks a piece that is continued by the next record.
+const CONTINUED: u8 = 1;
+
+/// Encodes a record in pieces of at most `limit` bytes, to be appended together.
+///
+/// # Panics
+/// Never: a record has no type that CBOR cannot hold.
+#[must_use]
+pub fn encode(record: &Record, limit: usize) -> Vec<Bytes> {
+    let mut body = Vec::new();
+    ciborium::into_writer(record, &mut body).expect("records encode into memory");
+    let size = limit.max(2) - 1;
+    let count = body.chunks(size).count();
+    let piece = |(at, chunk): (usize, &[u8])| {
+        let mut piece = BytesMut::with_capacity(chunk.len() + 1);
+        piece.put_u8(if at + 1 == count { LAST } else { CONTINUED });
+        piece.put_slice(chunk);
+        piece.freeze()
+    };
+    body.chunks(size).enumerate().map(piece).collect()
+}
+
+/// Puts pieces together and decodes records.
+#[derive(Clone, Debug, Default)]
+pub struct Decoder {
+    pending: Vec<u8>,
+}
+
+impl Decoder {
+    /// Takes the next piece; gives a record when it is whole.
+    ///
+    /// # Errors
+    /// The piece or the record does not decode; it is passed over.
+    pub fn push(&mut self, piece: &[u8]) -> Result<Option<Record>, String> {
+        let Some((mark, chunk)) = piece.split_first() else {
+            return Err("an empty record".to_owned());
+        };
+        self.pending.extend_from_slice(chunk);
+        if *mark == CONTINUED {
+            return Ok(None);
+        }
+        let body = std::mem::take(&mut self.pending);
+        let record = ciborium::from_reader(body.as_slice());
+        record.map(Some).map_err(|error| error.to_string())
+    }
+}
--- /dev/null
+++ b/src/ledger/writer.rs
@@ -0,0 +1,188 @@
+//! Appends records in batches, one batch at a time, each exactly once.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{sleep, timeout};
+
+use super::record::{Incarnation, Record, encode};
+use crate::boot::Boot;
+use crate::instance::edge::{Batch, Store, StoreError};
+use crate::instance::events::event;
+
+/// Time after which an unanswered append is sent again, under the same sequence number.
+const ANSWER: Duration = Duration::from_millis(1200);
+/// Pause after an append that the store refused.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// When a record's batch was first sent, once the store has acknowledged it.
+pub type Written = oneshot::Receiver<Boot>;
+
+struct Queued {
+    pieces: Vec<Bytes>,
+    done: oneshot::Sender<Boot>,
+}
+
+#[derive(Default)]
+struct Queue {
+    waiting: VecDeque<Queued>,
+    /// Since when the batch under way has been unanswered.
+    stuck: Option<Boot>,
+}
+
+/// Queue of records to append. Clones share it.
+#[derive(Clone)]
+pub struct Writer {
+    queue: Rc<RefCell<Queue>>,
+    wake: Rc<Notify>,
+    record_bytes: usize,
+}
+
+impl std::fmt::Debug for Writer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Writer({} waiting)", self.queue.borrow().waiting.len())
+    }
+}
+
+/// How a record's append ended, from what its writer can know.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// Acknowledged; its batch was first sent at this instant.
+    Written(Boot),
+    /// It was taken from the queue before it was sent.
+    Unsent,
+    /// It may have been written, or may yet be.
+    Unknown,
+}
+
+impl Writer {
+    /// A writer with an empty queue.
+    #[must_use]
+    pub fn new(record_bytes: usize) -> Self {
+        Self {
+            queue: Rc::default(),
+            wake: Rc::default(),
+            record_bytes,
+        }
+    }
+
+    /// Queues a record.
+    #[must_use]
+    pub fn push(&self, record: &Record) -> Written {
+        let (done, written) = oneshot::channel();
+        let pieces = encode(record, self.record_bytes);
+        self.queue
+            .borrow_mut()
+            .waiting
+            .push_back(Queued { pieces, done });
+        self.wake.notify_one();
+        written
+    }
+
+    /// Queues a record and waits for its acknowledgement until `deadline`.
+    pub async fn write(&self, record: &Record, deadline: Boot) -> Outcome {
+        let mut written = self.push(record);
+        let left = deadline.left(Boot::now());
+        if let Ok(Ok(sent)) = timeout(left, &mut written).await {
+            return Outcome::Written(sent);
+        }
+        written.close();
+        let mut queue = self.queue.borrow_mut();
+        let before = queue.waiting.len();
+        queue.waiting.retain(|queued| !queued.done.is_closed());
+        match written.try_recv() {
+            Ok(sent) => Outcome::Written(sent),
+            Err(_) if queue.waiting.len() < before => Outcome::Unsent,
+            Err(_) => Outcome::Unknown,
+        }
+    }
+
+    /// For how long the batch under way has been unanswered.
+    #[must_use]
+    pub fn stuck(&self, now: Boot) -> Duration {
+        let stuck = self.queue.borrow().stuck;
+        stuck.map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Whether nothing waits and nothing is under way.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        let queue = self.queue.borrow();
+        queue.waiting.is_empty() && queue.stuck.is_none()
+    }
+
+    fn take(&self, call_bytes: usize) -> Vec<Queued> {
+        let mut queue = self.queue.borrow_mut();
+        let mut taken = Vec::new();
+        let mut size = 0;
+        while let Some(next) = queue.waiting.front() {
+            size += next
+                .pieces
+                .iter()
+                .map(|piece| piece.len() + 4)
+                .sum::<usize>();
+            if size > call_bytes && !taken.is_empty() {
+                break;
+            }
+            taken.extend(queue.waiting.pop_front());
+        }
+        queue.stuck = (!taken.is_empty()).then(Boot::now);
+        taken
+    }
+
+    /// Appends what is queued, for ever.
+    pub async fn run(self, store: Rc<dyn Store>, incarnation: Incarnation, call_bytes: usize) {
+        let mut sequence = 1;
+        loop {
+            let taken = self.take(call_bytes);
+            if taken.is_empty() {
+                self.wake.notified().await;
+                continue;
+            }
+            let mut batch = Batch {
+                writer: incarnation.0.clone(),
+                sequence,
+                records: taken
+                    .iter()
+                    .flat_map(|queued| queued.pieces.clone())
+                    .collect(),
+            };
+            let sent = append(&*store, &mut batch).await;
+            sequence = batch.sequence + 1;
+            self.queue.borrow_mut().stuck = None;
+            for queued in taken {
+                // Whoever gave up waiting does not need the answer.
+                let _ = queued.done.send(sent);
+            }
+        }
+    }
+}
+
+/// Appends a batch, however often that takes; gives the instant of the first sending.
+async fn append(store: &dyn Store, batch: &mut Batch) -> Boot {
+    let first = Boot::now();
+    loop {
+        let result = timeout(ANSWER, store.append(batch)).await;
+        match result {
+            Ok(Ok(_)) => return first,
+            Ok(Err(StoreError::Sequence { expected })) => {
+                event!("append_sequence", "sequence" => batch.sequence, "expected" => expected);
+                if expected == batch.sequence + 1 {
+                    return first;
+                }
+                batch.sequence = expected;
+            }
+            Ok(Err(error)) => {
+                event!("append_failed", "sequence" => batch.sequence, "error" => error);
+                sleep(REFUSED_PAUSE).await;
+            }
+            Err(_) => {
+                event!("append_unanswered", "sequence" => batch.sequence);
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,22 +17,35 @@
 //! | [`peer`] | membership, digests and links between daemons |
 //! | [`wire`] | typed messages at the borders |
 //! | [`http`] | HTTP client, server and refusals |
+//! | [`instance`] | one process of an instance on a platform with a conditional log |
+//! | [`front`], [`relay`] | its callers' side, and its calls to backend servers |
+//! | [`ledger`], [`job`] | its log: records, folds, leases, rollout jobs |
+//! | [`drive`], [`duty`] | samples and weights, and duties of one instance at a time |
+//! | [`boot`] | a clock that goes on while the machine is suspended |
 
+pub mod boot;
 pub mod burn;
 pub mod checked;
 pub mod cmd;
 pub mod control;
 pub mod drain;
+pub mod drive;
+pub mod duty;
 pub mod edge;
 pub mod entry;
 pub mod failpoint;
+pub mod front;
 pub mod http;
+pub mod instance;
+pub mod job;
 pub mod lease;
+pub mod ledger;
 pub mod log;
 pub mod manifest;
 pub mod names;
 pub mod peer;
 pub mod rank;
+pub mod relay;
 pub mod settings;
 #[cfg(feature = "standin")]
 pub mod standin;
--- /dev/null
+++ b/src/relay/call.rs
@@ -0,0 +1,224 @@
+//! One call to one backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use snafu::{ResultExt as _, Snafu};
+
+use super::pool::{Lane, Pool, PoolError};
+use crate::instance::edge::{Backend, Dialect, Dispatch, Reply};
+
+/// Why a call got no whole answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// No connection: nothing was sent.
+    #[snafu(display("{source}"))]
+    Unsent {
+        /// The cause.
+        source: PoolError,
+    },
+    /// The request could not be formed.
+    #[snafu(display("malformed request: {source}"))]
+    Malformed {
+        /// The cause.
+        source: http::Error,
+    },
+    /// The connection broke: the request may have run.
+    #[snafu(display("connection broke: {source}"))]
+    Broken {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// The answer belongs to another request.
+    #[snafu(display("the answer belongs to another request"))]
+    Foreign,
+    /// No answer in time.
+    #[snafu(display("no answer in time"))]
+    Late,
+}
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct Outgoing<'a> {
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub target: &'a str,
+    /// Headers to pass on; headers of one connection are taken out.
+    pub headers: &'a HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A server's answer whose body is still arriving.
+#[derive(Debug)]
+pub struct Arriving {
+    /// Its head, decoded.
+    pub reply: Reply,
+    /// Its head.
+    pub head: http::response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// The connection that it arrives on.
+    pub lane: Lane,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its head, decoded.
+    pub reply: Reply,
+    /// The answer as the server gave it.
+    pub whole: Response<Bytes>,
+}
+
+impl Answer {
+    /// Whether it is a success that the server signed.
+    #[must_use]
+    pub fn is_success(&self) -> bool {
+        self.whole.status().is_success() && self.reply.stamp.is_some()
+    }
+
+    /// Whether the server states that the request has not run.
+    #[must_use]
+    pub fn is_not_run(&self) -> bool {
+        self.reply.not_run || self.whole.status() == StatusCode::MISDIRECTED_REQUEST
+    }
+}
+
+/// Headers that concern one connection only.
+const HOP: [header::HeaderName; 7] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::CONTENT_LENGTH,
+];
+
+/// Takes out the headers that concern one connection only.
+pub fn strip_hop(headers: &mut HeaderMap) {
+    let listed: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in HOP {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+    for name in listed {
+        headers.remove(name.as_str());
+    }
+}
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+/// [`CallError`]; only [`CallError::Unsent`] and [`CallError::Malformed`] prove that it has
+/// not run.
+pub async fn send(
+    pool: &Pool,
+    dialect: &dyn Dialect,
+    backend: &Backend,
+    limit: usize,
+    outgoing: &Outgoing<'_>,
+    dispatch: &Dispatch<'_>,
+) -> Result<Arriving, CallError> {
+    let mut lane = pool.lane(backend, limit).await.context(UnsentSnafu)?;
+    let uri = outgoing.target.parse::<Uri>().map_err(http::Error::from);
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.uri_mut() = uri.context(MalformedSnafu)?;
+    request.method_mut().clone_from(&outgoing.method);
+    request.headers_mut().clone_from(outgoing.headers);
+    strip_hop(request.headers_mut());
+    dialect.dispatch(request.headers_mut(), dispatch);
+    if !request.headers().contains_key(header::HOST)
+        && let Ok(host) = HeaderValue::from_str(&backend.address.to_string())
+    {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    let Some(sender) = lane.sender.as_mut() else {
+        return LateSnafu.fail();
+    };
+    let answer = sender.send_request(request).await.context(BrokenSnafu)?;
+    let (head, body) = answer.into_parts();
+    let reply = dialect.reply(&head);
+    if is_foreign(&reply, head.status, dispatch.id) {
+        return ForeignSnafu.fail();
+    }
+    Ok(Arriving {
+        reply,
+        head,
+        body,
+        lane,
+    })
+}
+
+/// Whether an answer belongs to another request than `id`.
+fn is_foreign(reply: &Reply, status: StatusCode, id: Option<&str>) -> bool {
+    match (id, reply.id.as_deref()) {
+        (None, _) => false,
+        (Some(id), Some(repeated)) => id != repeated,
+        (Some(_), None) => status.is_success(),
+    }
+}
+
+/// Reads the rest of an answer and gives its connection back.
+///
+/// # Errors
+/// [`CallError::Broken`] if the answer broke off.
+pub async fn finish(arriving: Arriving) -> Result<Answer, CallError> {
+    let Arriving {
+        reply,
+        head,
+        body,
+        lane,
+    } = arriving;
+    let body = body.collect().await.context(BrokenSnafu)?.to_bytes();
+    if closes(&head) {
+        drop(lane);
+    } else {
+        lane.keep(reply.keep);
+    }
+    Ok(Answer {
+        reply,
+        whole: Response::from_parts(head, body),
+    })
+}
+
+/// Whether the server closes the connection after this answer.
+#[must_use]
+pub fn closes(head: &http::response::Parts) -> bool {
+    let value = head.headers.get(header::CONNECTION);
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Sends a request and reads the whole answer within `limit` of time.
+///
+/// # Errors
+/// [`CallError`].
+pub async fn exchange(
+    pool: &Pool,
+    dialect: &dyn Dialect,
+    backend: &Backend,
+    connections: usize,
+    outgoing: &Outgoing<'_>,
+    dispatch: &Dispatch<'_>,
+    limit: Duration,
+) -> Result<Answer, CallError> {
+    let call = async {
+        let arriving = send(pool, dialect, backend, connections, outgoing, dispatch).await?;
+        finish(arriving).await
+    };
+    tokio::time::timeout(limit, call)
+        .await
+        .unwrap_or(LateSnafu.fail())
+}
--- /dev/null
+++ b/src/relay/mod.rs
@@ -0,0 +1,7 @@
+//! Sends requests to backend servers: connections, single calls, and calls with retries.
+
+pub mod call;
+pub mod choose;
+pub mod load;
+pub mod pool;
+pub mod repeat;
--- /dev/null
+++ b/src/relay/repeat.rs
@@ -0,0 +1,256 @@
+//! Calls with retries: another server after a failure, and a second one beside a slow one.
+
+use std::collections::HashSet;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use http::{HeaderMap, Method};
+use tokio::time::{sleep, timeout};
+
+use super::call::{self, Answer, CallError, Outgoing};
+use super::choose::{Ended, Limits, Next, after, hedge_at};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::deployment::{Route, RouteKind};
+use crate::instance::edge::{Backend, Dispatch};
+use crate::instance::events::event;
+
+/// Shortest time in which another attempt can be of use.
+const USEFUL: Duration = Duration::from_millis(15);
+/// Pause after all servers turned a request away.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// Time for which a server that failed is avoided.
+const SUSPECT: Duration = Duration::from_secs(3);
+
+/// A request to send to a service.
+#[derive(Debug)]
+pub struct Job<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Its route.
+    pub route: &'a Rc<Route>,
+    /// Method.
+    pub method: Method,
+    /// Path with its query.
+    pub target: &'a str,
+    /// Headers.
+    pub headers: &'a HeaderMap,
+    /// Body.
+    pub body: bytes::Bytes,
+    /// Tenant, if one is known.
+    pub tenant: Option<&'a str>,
+    /// When the caller must have an answer.
+    pub deadline: Boot,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum Done {
+    /// With a server's answer.
+    Answered(Answer),
+    /// No server took it; it has not run.
+    NotRun,
+    /// It may have run, and no answer came.
+    Unknown,
+}
+
+struct Tally {
+    runs: u32,
+    refusals: u32,
+    tried: HashSet<String>,
+    last: Option<Answer>,
+    unknown: bool,
+    hedged: bool,
+}
+
+/// Sends a request, to several servers if need be, and gives the best answer.
+pub async fn run(shared: &Shared, job: &Job<'_>) -> Done {
+    let repeatable = job.route.kind == RouteKind::Idempotent;
+    let service = job.route.target(rand::random());
+    let mut tally = Tally {
+        runs: 0,
+        refusals: 0,
+        tried: HashSet::new(),
+        last: None,
+        unknown: false,
+        hedged: false,
+    };
+    let mut calls = FuturesUnordered::new();
+    loop {
+        let now = Boot::now();
+        if calls.is_empty() {
+            let Some(backend) = shared.choose(service, &tally.tried) else {
+                event!("no_server", "id" => job.id, "service" => service);
+                return tally.finish();
+            };
+            tally.tried.insert(backend.id.clone());
+            tally.runs += 1;
+            calls.push(attempt(shared, job, backend));
+        }
+        let may_hedge = repeatable && !tally.hedged && tally.runs < job.route.attempts;
+        let wake = if may_hedge {
+            hedge_at(now, job.route.objective).min(job.deadline)
+        } else {
+            job.deadline
+        };
+        let next = timeout(wake.left(now), pin!(calls.next())).await;
+        let now = Boot::now();
+        let Ok(ended) = next else {
+            if now >= job.deadline {
+                event!("deadline", "id" => job.id, "runs" => tally.runs);
+                tally.unknown |= !calls.is_empty();
+                return tally.finish();
+            }
+            tally.hedged = true;
+            if let Some(backend) = shared.choose(service, &tally.tried)
+                && !tally.tried.contains(&backend.id)
+            {
+                event!("hedge", "id" => job.id, "server" => backend.id);
+                tally.tried.insert(backend.id.clone());
+                tally.runs += 1;
+                calls.push(attempt(shared, job, backend));
+            }
+            continue;
+        };
+        let Some((backend, result)) = ended else {
+            continue;
+        };
+        let (ended, answer) = judge(shared, job, &backend, result);
+        match (ended, answer) {
+            (None, Some(answer)) => return Done::Answered(answer),
+            (Some(ended), answer) => {
+                tally.note(ended, answer);
+                if !calls.is_empty() {
+                    continue;
+                }
+                let limits = Limits {
+                    attempts: job.route.attempts.max(1),
+                    servers: u32::try_from(shared.count(service)).unwrap_or(u32::MAX),
+                    now,
+                    deadline: job.deadline,
+                    useful: USEFUL,
+                };
+                let next = after(ended, repeatable, tally.runs, tally.refusals, limits);
+                if next == Next::Stop {
+                    return tally.finish();
+                }
+                if ended == Ended::NotRun && tally.refusals % limits.servers.max(1) == 0 {
+                    tally.tried.clear();
+                    sleep(FULL_PAUSE).await;
+                }
+            }
+            (None, None) => {}
+        }
+    }
+}
+
+impl Tally {
+    fn note(&mut self, ended: Ended, answer: Option<Answer>) {
+        match ended {
+            Ended::NotRun => {
+                self.refusals += 1;
+                self.runs -= 1;
+            }
+            Ended::Unknown => self.unknown = true,
+            Ended::Failed => self.last = answer,
+        }
+    }
+
+    fn finish(self) -> Done {
+        match self.last {
+            Some(answer) => Done::Answered(answer),
+            None if self.unknown || self.runs > 0 => Done::Unknown,
+            None => Done::NotRun,
+        }
+    }
+}
+
+async fn attempt(
+    shared: &Shared,
+    job: &Job<'_>,
+    backend: Rc<Backend>,
+) -> (Rc<Backend>, Result<Answer, CallError>) {
+    let _running = shared.load.enter(&backend.id);
+    let outgoing = Outgoing {
+        method: job.method.clone(),
+        target: job.target,
+        headers: job.headers,
+        body: job.body.clone(),
+    };
+    let mut second = false;
+    loop {
+        let left = job.deadline.left(Boot::now());
+        let dispatch = Dispatch {
+            id: Some(job.id),
+            server: &backend.id,
+            tenant: job.tenant,
+            left: Some(left),
+            resume: None,
+        };
+        let limit = shared.connections(&backend.service);
+        let pool = &shared.pool;
+        let dialect = &*shared.dialect;
+        let arriving = call::send(pool, dialect, &backend, limit, &outgoing, &dispatch).await;
+        let result = match arriving {
+            Ok(arriving) => call::finish(arriving).await,
+            Err(error) => Err(error),
+        };
+        // A kept connection may have been closed by the server just before.
+        let stale = matches!(&result, Err(CallError::Broken { .. }));
+        if stale && !second && job.route.kind == RouteKind::Idempotent {
+            second = true;
+            continue;
+        }
+        return (backend, result);
+    }
+}
+
+/// Classifies how an attempt ended; none for an answer that is passed on.
+fn judge(
+    shared: &Shared,
+    job: &Job<'_>,
+    backend: &Backend,
+    result: Result<Answer, CallError>,
+) -> (Option<Ended>, Option<Answer>) {
+    let now = Boot::now();
+    match result {
+        Ok(answer) if answer.is_not_run() => {
+            event!("turned_away", "id" => job.id, "server" => backend.id,
+                "status" => answer.whole.status().as_u16());
+            if answer.whole.status() == http::StatusCode::MISDIRECTED_REQUEST {
+                shared.load.suspect(&backend.id, now + SUSPECT);
+            }
+            (Some(Ended::NotRun), None)
+        }
+        Ok(answer) if answer.is_success() => (None, Some(answer)),
+        Ok(answer) if answer.whole.status().is_success() => {
+            event!("unsigned_answer", "id" => job.id, "server" => backend.id);
+            (Some(Ended::Unknown), None)
+        }
+        Ok(answer) if answer.whole.status().is_server_error() => {
+            event!("server_failed", "id" => job.id, "server" => backend.id,
+                "status" => answer.whole.status().as_u16());
+            (Some(Ended::Failed), Some(answer))
+        }
+        Ok(answer) => (None, Some(answer)),
+        Err(error) => {
+            event!("call_failed", "id" => job.id, "server" => backend.id, "error" => error);
+            shared.load.suspect(&backend.id, now + SUSPECT);
+            let unsent = matches!(
+                error,
+                CallError::Unsent { .. } | CallError::Malformed { .. }
+            );
+            (
+                Some(if unsent {
+                    Ended::NotRun
+                } else {
+                    Ended::Unknown
+                }),
+                None,
+            )
+        }
+    }
+}
