--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -1,5 +1,6 @@
 //! Makes one sample: runs it on engines until its text is whole, then has it scored.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -65,7 +66,7 @@
     shared: &Shared,
     task: &Task,
     backend: &Backend,
-    sample: &mut Sample,
+    sample: &RefCell<Sample>,
     mut paced: impl FnMut(Duration),
 ) -> RunEnd {
     let _running = shared.load.enter(&backend.id);
@@ -81,7 +82,7 @@
         server: &backend.id,
         tenant: task.tenant.as_deref(),
         left: None,
-        resume: sample.last,
+        resume: sample.borrow().last,
     };
     let limit = shared.connections(&backend.service);
     let pool = &shared.pool;
@@ -133,7 +134,7 @@
     task: &Task,
     backend: &Backend,
     arriving: call::Arriving,
-    sample: &mut Sample,
+    sample: &RefCell<Sample>,
     paced: &mut impl FnMut(Duration),
 ) -> RunEnd {
     let call::Arriving {
@@ -152,12 +153,12 @@
             Ok(None) => break,
             Ok(Some(Err(error))) => {
                 event!("item_broken", "item" => task.item.id, "server" => backend.id,
-                    "events" => sample.data.len(), "error" => error);
+                    "events" => sample.borrow().data.len(), "error" => error);
                 return RunEnd::Broken;
             }
             Err(_) => {
                 event!("item_silent", "item" => task.item.id, "server" => backend.id,
-                    "events" => sample.data.len());
+                    "events" => sample.borrow().data.len());
                 return RunEnd::Broken;
             }
         };
@@ -170,13 +171,14 @@
                 .iter()
                 .find_map(|line| shared.dialect.version_line(line));
             version = announced.unwrap_or(version);
-            if let Err(misfit) = sample.add(event, version, task.fit) {
+            let added = sample.borrow_mut().add(event, version, task.fit);
+            if let Err(misfit) = added {
                 event!("item_misfit", "item" => task.item.id, "server" => backend.id,
                     "version" => version, "misfit" => format!("{misfit:?}"));
                 if misfit == Misfit::Version {
                     return RunEnd::Misdirected;
                 }
-                *sample = Sample::default();
+                sample.replace(Sample::default());
                 return RunEnd::Broken;
             }
             let now = Boot::now();
@@ -184,7 +186,7 @@
             before = now;
         }
     }
-    if reader.is_partial() || sample.data.is_empty() {
+    if reader.is_partial() || sample.borrow().data.is_empty() {
         return RunEnd::Broken;
     }
     if !call::closes(&head) {
--- /dev/null
+++ b/src/drive/make.rs
@@ -0,0 +1,197 @@
+//! Makes one sample, and keeps what was made of it for another run.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Driver;
+use super::item::{self, RunEnd, Task};
+use super::sample::Sample;
+use crate::boot::Boot;
+use crate::instance::edge::Backend;
+use crate::instance::events::event;
+use crate::job::{ItemEnd, Listed};
+use crate::ledger::record::Record;
+
+/// Time for which a server that turned an item away gets no other one.
+const FULL_REST: Duration = Duration::from_millis(120);
+/// Time for which a server that broke a run off gets no other one.
+const BROKEN_REST: Duration = Duration::from_millis(1500);
+/// Time for which an unfinished text is kept for a job that brings the item again.
+const DRAFT_KEPT: Duration = Duration::from_secs(30);
+
+/// The text of an item and the weight versions that made it.
+#[derive(Clone, Debug)]
+pub(super) struct Text {
+    pub(super) output: String,
+    pub(super) versions: Vec<u64>,
+}
+
+/// What is listed for an item.
+#[derive(Clone, Debug)]
+pub(super) struct Ended {
+    end: ItemEnd,
+    text: Text,
+    score: Option<String>,
+}
+
+impl Ended {
+    /// An item that was given up.
+    pub(super) fn dead() -> Self {
+        let text = Text {
+            output: String::new(),
+            versions: Vec::new(),
+        };
+        Self {
+            end: ItemEnd::Dead,
+            text,
+            score: None,
+        }
+    }
+}
+
+/// What was made of an item so far.
+#[derive(Debug, Default)]
+struct Draft {
+    sample: RefCell<Sample>,
+    whole: Cell<bool>,
+    /// Answers of servers that failed, and the job that got them.
+    failures: RefCell<(String, u32)>,
+    used: Cell<Boot>,
+}
+
+/// Unfinished texts by item: an item that comes again in another job goes on from there.
+#[derive(Debug, Default)]
+pub(super) struct Drafts(RefCell<HashMap<String, Rc<Draft>>>);
+
+impl Drafts {
+    fn get(&self, item: &str) -> Rc<Draft> {
+        let mut drafts = self.0.borrow_mut();
+        let draft = Rc::clone(drafts.entry(item.to_owned()).or_default());
+        draft.used.set(Boot::now());
+        draft
+    }
+
+    fn remove(&self, item: &str) {
+        self.0.borrow_mut().remove(item);
+    }
+
+    pub(super) fn forget(&self, now: Boot) {
+        let mut drafts = self.0.borrow_mut();
+        drafts.retain(|_, draft| now < draft.used.get() + DRAFT_KEPT);
+    }
+}
+
+impl Draft {
+    /// Counts a failure of a job's item.
+    fn fail(&self, job: &str) -> u32 {
+        let mut failures = self.failures.borrow_mut();
+        if failures.0 != job {
+            *failures = (job.to_owned(), 0);
+        }
+        failures.1 += 1;
+        failures.1
+    }
+}
+
+/// Runs a task on a server; lists its result or leaves it to another run.
+pub(super) async fn make(driver: &Driver, task: &Task, backend: &Rc<Backend>, attempts: u32) {
+    let draft = driver.drafts.get(&task.item.id);
+    let version = driver.weights.version(backend, &task.model);
+    if !task.fit.allows(&draft.sample.borrow(), version) {
+        draft.sample.replace(Sample::default());
+        draft.whole.set(false);
+    }
+    if !draft.whole.get() {
+        let paced = |span| driver.paced(&backend.id, span);
+        let end = item::run(&driver.shared, task, backend, &draft.sample, paced).await;
+        driver
+            .shared
+            .metrics
+            .items
+            .with_label_values(&[&format!("{end:?}")])
+            .inc();
+        draft.used.set(Boot::now());
+        if !settle(driver, task, backend, &draft, end, attempts) {
+            return;
+        }
+        draft.whole.set(true);
+        driver.shared.changed.notify_waiters();
+    }
+    let text = {
+        let sample = draft.sample.borrow();
+        Text {
+            output: sample.text(),
+            versions: sample.versions.clone(),
+        }
+    };
+    driver.finish(task, text).await;
+}
+
+/// Acts on the end of a run; tells whether the text is whole.
+fn settle(
+    driver: &Driver,
+    task: &Task,
+    backend: &Backend,
+    draft: &Draft,
+    end: RunEnd,
+    attempts: u32,
+) -> bool {
+    let now = Boot::now();
+    match end {
+        RunEnd::Whole => return true,
+        RunEnd::Impossible => {
+            driver.list(&task.job, &task.item.id, Ended::dead());
+            return false;
+        }
+        RunEnd::Failed => {
+            if draft.fail(&task.job) >= attempts {
+                driver.list(&task.job, &task.item.id, Ended::dead());
+                return false;
+            }
+        }
+        RunEnd::NotRun => driver.rest(&backend.id, now + FULL_REST),
+        RunEnd::Misdirected | RunEnd::Broken => driver.rest(&backend.id, now + BROKEN_REST),
+    }
+    driver
+        .runs
+        .borrow_mut()
+        .remove(&(task.job.clone(), task.item.id.clone()));
+    driver.shared.changed.notify_waiters();
+    false
+}
+
+impl Driver {
+    /// Has a whole text scored, and lists it.
+    pub(super) async fn finish(&self, task: &Task, text: Text) {
+        let (end, score) = match &task.item.scorer {
+            Some(scorer) => item::score(&self.shared, task, scorer).await,
+            None => (ItemEnd::Complete, None),
+        };
+        let ended = match end {
+            ItemEnd::Complete => Ended { end, text, score },
+            ItemEnd::Dead => Ended::dead(),
+        };
+        self.list(&task.job, &task.item.id, ended);
+    }
+
+    /// Writes a result to the log; the item counts as running until it is read there.
+    pub(super) fn list(&self, job: &str, item: &str, ended: Ended) {
+        event!("item_listed", "job" => job, "item" => item, "end" => format!("{:?}", ended.end),
+            "versions" => format!("{:?}", ended.text.versions));
+        self.drafts.remove(item);
+        let result = Listed {
+            item: item.to_owned(),
+            end: ended.end,
+            output: ended.text.output,
+            versions: ended.text.versions,
+            score: ended.score,
+        };
+        let record = Record::Listed {
+            job: job.to_owned(),
+            result,
+        };
+        drop(self.shared.writer.push(&record));
+    }
+}
--- a/src/drive/sample.rs
+++ b/src/drive/sample.rs
@@ -36,10 +36,13 @@
 
 impl Fit {
     /// Whether a run at weight `version` may add to `sample`.
+    ///
+    /// What the sample holds already may have been made for another job.
     #[must_use]
     pub fn allows(self, sample: &Sample, version: u64) -> bool {
         let same = sample.versions.iter().all(|known| *known == version);
-        version >= self.min && (same || !self.single)
+        let young = sample.versions.iter().all(|known| *known >= self.min);
+        young && version >= self.min && (same || !self.single)
     }
 }
 
--- /dev/null
+++ b/src/drive/start.rs
@@ -0,0 +1,201 @@
+//! Starts the items that are due on the servers that have room.
+
+use std::rc::Rc;
+
+use super::item::Task;
+use super::make::{self, Ended};
+use super::sample::Fit;
+use super::{Driver, Models, Run, route, service};
+use crate::boot::Boot;
+use crate::instance::deployment::Deployment;
+use crate::instance::edge::Backend;
+use crate::instance::events::event;
+use crate::job::Job;
+use crate::job::order::queue;
+use crate::job::place::{Seat, place};
+use crate::util::{millis, unix_ms};
+
+/// Pace of a server that has made no event yet, in seconds an event.
+const PACE_START: f64 = 0.04;
+
+/// Servers with room, as the placing of items changes them.
+struct Room<'a> {
+    servers: Vec<&'a Rc<Backend>>,
+    free: Vec<usize>,
+    paces: Vec<f64>,
+    models: Vec<String>,
+}
+
+/// Starts what is due; gives the models whose items still wait.
+pub(super) fn due(driver: &Rc<Driver>, deployment: &Deployment, name: &str) -> Models {
+    let mut left = Models::new();
+    if driver.shared.leaving.get().is_some() {
+        return left;
+    }
+    let fold = driver.shared.fold.borrow();
+    let own = |job: &Job| route(deployment, job).is_some_and(|route| service(route, job) == name);
+    let waiting = queue(&fold.jobs, own, |job, item| driver.is_running(job, item));
+    if waiting.is_empty() {
+        return left;
+    }
+    let now = Boot::now();
+    let wall = unix_ms();
+    let fleet = driver.shared.fleet.borrow();
+    let mut room = room(driver, fleet.usable(name, now), now);
+    for waiting in waiting {
+        let job = waiting.job;
+        let item = &job.record.items[waiting.at];
+        let Some(route) = route(deployment, job) else {
+            continue;
+        };
+        if job.record.submitted + millis(route.retention) < wall {
+            driver
+                .runs
+                .borrow_mut()
+                .insert(key(job, &item.id), Run::default());
+            driver.list(&job.record.id, &item.id, Ended::dead());
+            continue;
+        }
+        let attempts = route.attempts.max(1);
+        let fit = Fit {
+            min: job.record.min_version,
+            single: route.single_version,
+        };
+        if let Some(text) = earlier(&fold.jobs, job, &item.id, fit) {
+            let task = task(job, waiting.at, fit);
+            spawn(
+                driver,
+                &task.job.clone(),
+                &task.item.id.clone(),
+                |driver| async move {
+                    driver.finish(&task, text).await;
+                },
+            );
+            continue;
+        }
+        let Some(at) = seat(driver, &room, job, waiting.at) else {
+            left.insert(job.record.model.clone());
+            continue;
+        };
+        room.free[at] -= 1;
+        let backend = Rc::clone(room.servers[at]);
+        event!("item_start", "job" => job.record.id, "item" => item.id, "server" => backend.id,
+            "spare" => waiting.spare);
+        let home = key(job, &item.group);
+        driver.homes.borrow_mut().insert(home, backend.id.clone());
+        let task = task(job, waiting.at, fit);
+        spawn(
+            driver,
+            &task.job.clone(),
+            &task.item.id.clone(),
+            move |driver| async move {
+                make::make(&driver, &task, &backend, attempts).await;
+            },
+        );
+    }
+    left
+}
+
+fn key(job: &Job, part: &str) -> super::Key {
+    (job.record.id.clone(), part.to_owned())
+}
+
+fn room<'a>(driver: &Driver, usable: impl Iterator<Item = &'a Rc<Backend>>, now: Boot) -> Room<'a> {
+    let takes = |backend: &&Rc<Backend>| {
+        !driver.weights.is_loading(backend) && !driver.rests(&backend.id, now)
+    };
+    let servers: Vec<&Rc<Backend>> = usable.filter(takes).collect();
+    let free = |backend: &&Rc<Backend>| {
+        backend
+            .slots
+            .saturating_sub(driver.shared.load.running(&backend.id))
+    };
+    Room {
+        free: servers.iter().map(free).collect(),
+        paces: paces(driver, &servers),
+        models: servers
+            .iter()
+            .map(|backend| driver.model_of(backend))
+            .collect(),
+        servers,
+    }
+}
+
+/// Paces of servers against their median.
+fn paces(driver: &Driver, servers: &[&Rc<Backend>]) -> Vec<f64> {
+    let places = driver.places.borrow();
+    let one = |backend: &&Rc<Backend>| {
+        places
+            .get(&backend.id)
+            .and_then(|place| place.pace)
+            .unwrap_or(PACE_START)
+    };
+    let seen: Vec<f64> = servers.iter().map(one).collect();
+    let mut sorted = seen.clone();
+    sorted.sort_by(f64::total_cmp);
+    let median = sorted.get(sorted.len() / 2).copied().unwrap_or(PACE_START);
+    paces
+        .into_iter()
+        .map(|pace| pace / median.max(f64::MIN_POSITIVE))
+        .collect()
+}
+
+fn seat(driver: &Driver, room: &Room<'_>, job: &Job, at: usize) -> Option<usize> {
+    let model = &job.record.model;
+    let seats: Vec<Seat<'_>> = (0..room.servers.len())
+        .map(|at| Seat {
+            id: &room.servers[at].id,
+            free: room.free[at],
+            slots: room.servers[at].slots,
+            version: driver.weights.version(room.servers[at], model),
+            pace: room.paces[at],
+            foreign: room.models[at] != *model,
+        })
+        .collect();
+    let homes = driver.homes.borrow();
+    let home = homes
+        .get(&key(job, &job.record.items[at].group))
+        .map(String::as_str);
+    place(&seats, home, job.record.min_version)
+}
+
+/// Text that an earlier job's run of the same item left, if it fits.
+fn earlier(jobs: &crate::job::Jobs, job: &Job, item: &str, fit: Fit) -> Option<make::Text> {
+    let listed = jobs
+        .is_again(job, item)
+        .then(|| jobs.earlier(&job.record.id, item))??;
+    let young = listed.versions.iter().all(|version| *version >= fit.min);
+    let fits = young && (!fit.single || listed.versions.len() == 1);
+    fits.then(|| make::Text {
+        output: listed.output.clone(),
+        versions: listed.versions.clone(),
+    })
+}
+
+fn task(job: &Job, at: usize, fit: Fit) -> Task {
+    let record = &job.record;
+    Task {
+        job: record.id.clone(),
+        item: record.items[at].clone(),
+        host: record.host.clone(),
+        tenant: record.tenant.clone(),
+        model: record.model.clone(),
+        fit,
+    }
+}
+
+/// Starts a run and remembers how to stop it.
+fn spawn<F, Fut>(driver: &Rc<Driver>, job: &str, item: &str, run: F)
+where
+    F: FnOnce(Rc<Driver>) -> Fut,
+    Fut: Future<Output = ()> + 'static,
+{
+    let running = tokio::task::spawn_local(run(Rc::clone(driver)));
+    let run = Run {
+        handle: Some(running.abort_handle()),
+    };
+    driver
+        .runs
+        .borrow_mut()
+        .insert((job.to_owned(), item.to_owned()), run);
+}
--- a/src/drive/waves.rs
+++ b/src/drive/waves.rs
@@ -1,23 +1,41 @@
 //! Which servers load new weights next.
 //!
-//! The load pattern: a trainer names a version and submits its next round at the same
-//! moment, so servers must change weights while the round runs. A few load at a time;
-//! those whose weights are too old for the round go first, then those with the least to do.
+//! The load pattern: a trainer names a version and submits its next round at about the same
+//! moment, so servers must change weights while rounds run, and loads slow each other down.
+//! A few load at a time. Servers whose weights are too old for an open round go first;
+//! others only while they have nothing to do, so that no running sample waits for a load.
 
 /// Servers for each one that may load at the same time: loads slow each other down beyond.
 const SERVERS_PER_LOAD: f64 = 4.5;
 /// Loads at the same time at least.
 const LOADS_MIN: usize = 2;
 
-/// A server and its weights.
+/// A server and the weights of the model that it is kept for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Loadable {
-    /// Its weight version of the model.
+    /// Its weight version.
     pub version: u64,
+    /// The version that the trainer named.
+    pub named: u64,
+    /// The oldest version that an open round takes; 0 if there is none.
+    pub oldest: u64,
     /// Whether it is loading.
     pub loading: bool,
     /// Requests that it runs.
     pub running: usize,
+    /// Whether items wait that it could take with its present weights.
+    pub wanted: bool,
+}
+
+impl Loadable {
+    fn is_urgent(&self) -> bool {
+        self.version < self.oldest
+    }
+
+    fn is_due(&self) -> bool {
+        let behind = self.version < self.named && !self.loading;
+        behind && (self.is_urgent() || (self.running == 0 && !self.wanted))
+    }
 }
 
 /// Servers that may load at the same time, of `count` in all.
@@ -33,15 +51,13 @@
     loads.max(LOADS_MIN)
 }
 
-/// Chooses servers to load `named`, by position; `oldest` is the oldest version still wanted.
+/// Chooses servers to load, by position.
 #[must_use]
-pub fn next(servers: &[Loadable], named: u64, oldest: u64) -> Vec<usize> {
+pub fn next(servers: &[Loadable]) -> Vec<usize> {
     let loading = servers.iter().filter(|server| server.loading).count();
     let room = at_once(servers.len()).saturating_sub(loading);
     let all = servers.iter().enumerate();
-    let mut behind: Vec<(usize, &Loadable)> = all
-        .filter(|(_, server)| server.version < named && !server.loading)
-        .collect();
-    behind.sort_by_key(|(_, server)| (server.version >= oldest, server.running, server.version));
-    behind.into_iter().take(room).map(|(at, _)| at).collect()
+    let mut due: Vec<(usize, &Loadable)> = all.filter(|(_, server)| server.is_due()).collect();
+    due.sort_by_key(|(_, server)| (!server.is_urgent(), server.running, server.version));
+    due.into_iter().take(room).map(|(at, _)| at).collect()
 }
--- a/src/drive/weights.rs
+++ b/src/drive/weights.rs
@@ -1,6 +1,6 @@
 //! Orders servers to load the weight versions that trainers name.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,8 +9,8 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::time::sleep;
 
-use super::Driver;
 use super::waves::{Loadable, next};
+use super::{Driver, Models};
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::edge::{Backend, Dispatch, EngineReport, LoadMode, LoadOrder};
@@ -20,8 +20,12 @@
 
 /// Time within which a server answers a report call or an order.
 const ANSWER: Duration = Duration::from_millis(900);
-/// Pause between two looks at a server that loads.
-const POLL: Duration = Duration::from_millis(250);
+/// Time of a load before one was measured.
+const LOAD_START: Duration = Duration::from_millis(800);
+/// Share of the usual time of a load after which the server is looked at.
+const LOOK_SHARE: f64 = 0.95;
+/// Pause between two looks at a server that still loads.
+const POLL: Duration = Duration::from_millis(120);
 /// Time after which a load is ordered again.
 const LOAD_MAX: Duration = Duration::from_secs(6);
 /// Pause after an order without effect.
@@ -31,6 +35,8 @@
 #[derive(Debug, Default)]
 pub struct Weights {
     known: RefCell<HashMap<(String, u64), Known>>,
+    /// The shortest time that a load took.
+    shortest: Cell<Option<Duration>>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -94,6 +100,19 @@
         );
     }
 
+    /// Time that a load usually takes at least.
+    fn usual(&self) -> Duration {
+        self.shortest
+            .get()
+            .unwrap_or(LOAD_START)
+            .saturating_sub(POLL)
+    }
+
+    fn measure(&self, took: Duration) {
+        let shortest = self.shortest.get().map_or(took, |known| known.min(took));
+        self.shortest.set(Some(shortest));
+    }
+
     /// Forgets servers that are gone.
     pub fn retain(&self, is_live: impl Fn(&str, u64) -> bool) {
         self.known
@@ -103,45 +122,42 @@
 }
 
 /// Starts the loads of a service that are due.
-pub fn step(driver: &Rc<Driver>, service: &str) {
+///
+/// `waiting` holds the models whose items wait for a server.
+pub(super) fn step(driver: &Rc<Driver>, service: &str, waiting: &Models) {
     let shared = &driver.shared;
     let now = Boot::now();
     let subject = Subject::Service(service.to_owned());
     if shared.held(&subject, now).is_none() || shared.leaving.get().is_some() {
         return;
     }
-    let Some(deployment) = shared.deployment() else {
-        return;
-    };
-    let engine = deployment
-        .services
-        .get(service)
-        .and_then(|service| service.engine.as_ref());
-    for model in engine.map_or(&[][..], |engine| &engine.models) {
-        let named = shared
-            .named
-            .borrow()
-            .get(model)
-            .copied()
-            .unwrap_or_default();
-        let fleet = shared.fleet.borrow();
-        let usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
-        let loadable = |backend: &&Rc<Backend>| Loadable {
-            version: driver.weights.version(backend, model),
+    let fleet = shared.fleet.borrow();
+    let usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
+    let named = shared.named.borrow();
+    let mut models = Vec::new();
+    let mut servers = Vec::new();
+    for backend in &usable {
+        let model = driver.model_of(backend);
+        let named = named.get(&model).copied().unwrap_or_default();
+        servers.push(Loadable {
+            version: driver.weights.version(backend, &model),
+            named,
+            oldest: driver.oldest(&model).min(named),
             loading: driver.weights.is_loading(backend) || driver.weights.is_resting(backend, now),
             running: shared.load.running(&backend.id),
-        };
-        let servers: Vec<Loadable> = usable.iter().map(loadable).collect();
-        let oldest = driver.oldest(model);
-        for at in next(&servers, named, oldest) {
-            let backend = Rc::clone(usable[at]);
-            driver
-                .weights
-                .update(&backend, |known| known.loading = true);
-            let driver = Rc::clone(driver);
-            let model = model.clone();
-            tokio::task::spawn_local(async move { load(&driver, &backend, &model, named).await });
-        }
+            wanted: waiting.contains(&model),
+        });
+        models.push(model);
+    }
+    for at in next(&servers) {
+        let backend = Rc::clone(usable[at]);
+        driver
+            .weights
+            .update(&backend, |known| known.loading = true);
+        let driver = Rc::clone(driver);
+        let model = models[at].clone();
+        let version = servers[at].named;
+        tokio::task::spawn_local(async move { load(&driver, &backend, &model, version).await });
     }
 }
 
@@ -192,11 +208,14 @@
         };
         send(shared, backend, model, version, mode, report.orders).await?;
     }
-    let deadline = Boot::now() + LOAD_MAX;
+    let sent = Boot::now();
+    let deadline = sent + LOAD_MAX;
+    sleep(driver.weights.usual().mul_f64(LOOK_SHARE)).await;
     while Boot::now() < deadline {
         sleep(POLL).await;
         let report = self::report(shared, backend).await?;
         if !report.busy && has(&report) >= version {
+            driver.weights.measure(Boot::now().since(sent));
             return Ok(has(&report));
         }
     }
--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -21,7 +21,7 @@
 /// Time within which a record is acknowledged before the caller is told that it is not known.
 const ACCEPT: Duration = Duration::from_millis(2500);
 /// Time for which an append may be unanswered before new jobs are turned away at once.
-const STORE_STUCK: Duration = Duration::from_millis(1000);
+const STORE_STUCK: Duration = Duration::from_secs(1);
 /// Time after which a trainer that was turned away may come back.
 const STORE_AWAY: Duration = Duration::from_millis(500);
 /// Time to wait for the log to show whether a job exists.
@@ -35,12 +35,10 @@
 pub async fn submit(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
     let intake = &call.intake;
     let tenant = admitted.tenant.as_deref();
-    if let Some(same) = with_job(shared, &intake.id, tenant, |_| ()) {
-        return status(if same.is_some() {
-            StatusCode::ACCEPTED
-        } else {
-            StatusCode::NOT_FOUND
-        });
+    match with_job(shared, &intake.id, tenant, |_| ()) {
+        Known::Unknown => {}
+        Known::Foreign => return status(StatusCode::NOT_FOUND),
+        Known::Own(()) => return status(StatusCode::ACCEPTED),
     }
     let submission = match shared.dialect.submission(&call.body) {
         Ok(submission) => submission,
@@ -80,16 +78,38 @@
     }
 }
 
-/// Looks at a job: none if it is not known here, and an inner none if it is another tenant's.
+/// What is known here of a job.
+enum Known<T> {
+    /// Nothing.
+    Unknown,
+    /// It is another tenant's.
+    Foreign,
+    /// What was looked at.
+    Own(T),
+}
+
+impl<T> Known<T> {
+    fn own(self) -> Option<T> {
+        match self {
+            Self::Own(value) => Some(value),
+            Self::Unknown | Self::Foreign => None,
+        }
+    }
+}
+
+/// Looks at a tenant's job.
 fn with_job<T>(
     shared: &Shared,
     job: &str,
     tenant: Option<&str>,
     look: impl FnOnce(&Job) -> T,
-) -> Option<Option<T>> {
+) -> Known<T> {
     let fold = shared.fold.borrow();
-    let job = fold.jobs.get(job)?;
-    Some((job.record.tenant.as_deref() == tenant).then(|| look(job)))
+    match fold.jobs.get(job) {
+        None => Known::Unknown,
+        Some(job) if job.record.tenant.as_deref() != tenant => Known::Foreign,
+        Some(job) => Known::Own(look(job)),
+    }
 }
 
 /// Waits until a job is known, or the log shows that there is none.
@@ -102,9 +122,9 @@
     loop {
         let changed = shared.changed.notified();
         match with_job(shared, job, tenant, |_| ()) {
-            Some(Some(())) => return Ok(()),
-            Some(None) => return Err(Box::new(status(StatusCode::NOT_FOUND))),
-            None => {}
+            Known::Own(()) => return Ok(()),
+            Known::Foreign => return Err(Box::new(status(StatusCode::NOT_FOUND))),
+            Known::Unknown => {}
         }
         let seen = shared.contacts.borrow().ledger.seen;
         if seen.is_some_and(|seen| seen > asked) {
@@ -139,7 +159,7 @@
             let waits = job.listed.len() <= after && !job.is_finished();
             (page(shared, job, after), waits)
         });
-        let Some((page, waits)) = page.flatten() else {
+        let Some((page, waits)) = page.own() else {
             return come_back(super::admit::ELSEWHERE);
         };
         let left = deadline.left(Boot::now());
@@ -173,7 +193,7 @@
     let found = with_job(shared, job, tenant, |job| {
         job.item(item).map(|item| item.body.clone())
     });
-    match found.flatten().flatten() {
+    match found.own().flatten() {
         Some(body) => Response::new(whole(body)),
         None => status(StatusCode::NOT_FOUND),
     }
@@ -184,7 +204,7 @@
     if let Err(response) = find(shared, job, tenant).await {
         return *response;
     }
-    if with_job(shared, job, tenant, |job| job.ended).flatten() == Some(true) {
+    if with_job(shared, job, tenant, |job| job.ended).own() == Some(true) {
         return status(StatusCode::OK);
     }
     let deadline = Boot::now() + ACCEPT;
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -14,7 +14,7 @@
 pub mod settings;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -83,8 +83,8 @@
     pub load: Load,
     /// Requests that began to run, by usage window and tenant.
     pub usage: RefCell<BTreeMap<u64, Counts>>,
-    /// When the last confirmed renewal of each held lease was sent, by fencing number.
-    pub renewed: RefCell<HashMap<u64, Boot>>,
+    /// When the latest signs of life were made, by number.
+    pub beats: RefCell<BTreeMap<u64, Boot>>,
     /// Since when the process has been leaving.
     pub leaving: Cell<Option<Boot>>,
     /// Callers' requests under way.
@@ -132,7 +132,8 @@
     pub fn held(&self, subject: &Subject, now: Boot) -> Option<Holder> {
         let fold = self.fold.borrow();
         let lease = fold.leases.get(subject)?;
-        let renewed = *self.renewed.borrow().get(&lease.fence)?;
+        // The log confirms a renewal only by showing it before any other claim.
+        let renewed = *self.beats.borrow().get(&lease.renewal?)?;
         let span = self.settings.bounds.lease;
         let held = crate::ledger::lease::is_held(lease, &self.incarnation, renewed, now, span);
         held.then(|| Holder {
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -36,6 +36,8 @@
     pub body: Bytes,
     /// Group of samples that share a prompt.
     pub group: String,
+    /// Estimate of its output in tokens; 0 if there is none.
+    pub hint: u64,
     /// What scores it.
     pub scorer: Option<Scorer>,
 }
@@ -120,14 +122,16 @@
 /// All jobs that the log holds.
 #[derive(Debug, Default)]
 pub struct Jobs {
-    jobs: HashMap<String, Job>,
+    known: HashMap<String, Job>,
+    /// The job that first held an item.
+    first: HashMap<String, String>,
     accepted: u64,
 }
 
 impl Jobs {
     /// Accepts a job; a job of the same id changes nothing.
     pub fn accept(&mut self, record: JobRecord) {
-        if self.jobs.contains_key(&record.id) {
+        if self.known.contains_key(&record.id) {
             return;
         }
         let numbered = record.items.iter().enumerate();
@@ -141,12 +145,16 @@
             record,
         };
         self.accepted += 1;
-        self.jobs.insert(job.record.id.clone(), job);
+        for item in &job.record.items {
+            let first = self.first.entry(item.id.clone());
+            first.or_insert_with(|| job.record.id.clone());
+        }
+        self.known.insert(job.record.id.clone(), job);
     }
 
     /// Lists a result; the first one of an item counts.
     pub fn list(&mut self, job: &str, result: Listed) {
-        let Some(job) = self.jobs.get_mut(job) else {
+        let Some(job) = self.known.get_mut(job) else {
             return;
         };
         if job.index.contains_key(&result.item) && job.done.insert(result.item.clone()) {
@@ -156,26 +164,45 @@
 
     /// Ends a job.
     pub fn end(&mut self, job: &str) {
-        if let Some(job) = self.jobs.get_mut(job) {
+        if let Some(job) = self.known.get_mut(job) {
             job.ended = true;
         }
     }
 
+    /// Whether an earlier job held an item of `job` already.
+    #[must_use]
+    pub fn is_again(&self, job: &Job, item: &str) -> bool {
+        self.first
+            .get(item)
+            .is_some_and(|first| *first != job.record.id)
+    }
+
+    /// A complete result of an item in another job than `job`.
+    #[must_use]
+    pub fn earlier(&self, job: &str, item: &str) -> Option<&Rc<Listed>> {
+        let others = self.known.values().filter(|other| other.record.id != job);
+        let holders = others.filter(|other| other.done.contains(item));
+        let mut listed = holders.flat_map(|other| &other.listed);
+        listed.find(|listed| listed.item == item && listed.end == ItemEnd::Complete)
+    }
+
     /// The job of an id.
     #[must_use]
     pub fn get(&self, job: &str) -> Option<&Job> {
-        self.jobs.get(job)
+        self.known.get(job)
     }
 
     /// All jobs.
     pub fn iter(&self) -> impl Iterator<Item = &Job> {
-        self.jobs.values()
+        self.known.values()
     }
 
     /// Forgets jobs that are finished and were submitted more than `kept` before `now`.
     pub fn prune(&mut self, now: u64, kept: Duration) {
         let kept = crate::util::millis(kept);
         let is_old = |job: &Job| job.is_finished() && job.record.submitted + kept < now;
-        self.jobs.retain(|_, job| !is_old(job));
+        self.known.retain(|_, job| !is_old(job));
+        let known = &self.known;
+        self.first.retain(|_, job| known.contains_key(job));
     }
 }
--- a/src/job/place.rs
+++ b/src/job/place.rs
@@ -4,6 +4,9 @@
 //! servers are slow. Items of a group go where its prompt was read already; otherwise the
 //! fastest server with the most room takes the item.
 
+/// What a server that is kept for another model costs more: it may load that model's
+/// weights at any time.
+const FOREIGN: f64 = 2.0;
 /// Slowdown from which on a server is no longer worth a shared prompt.
 const SLOW: f64 = 1.6;
 
@@ -20,6 +23,8 @@
     pub version: u64,
     /// Time of an event against the median server's.
     pub pace: f64,
+    /// Whether it is kept for another model.
+    pub foreign: bool,
 }
 
 /// Chooses among the seats for an item of a group whose prompt `home` has read.
@@ -40,5 +45,6 @@
     let taken = seat.slots.saturating_sub(seat.free);
     let load = f64::from(u32::try_from(taken).unwrap_or(u32::MAX))
         / f64::from(u32::try_from(seat.slots.max(1)).unwrap_or(u32::MAX));
-    seat.pace * (1.0 + load)
+    let foreign = if seat.foreign { FOREIGN } else { 0.0 };
+    seat.pace * (1.0 + load + foreign)
 }
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -38,6 +38,8 @@
     pub last: u64,
     /// When that was read here.
     pub heard: Boot,
+    /// Number of the holder's sign of life that renewed it last.
+    pub renewal: Option<u64>,
     /// Whether it was given up.
     pub released: bool,
 }
@@ -108,6 +110,7 @@
             incarnation,
             last: offset,
             heard: received,
+            renewal: None,
             released: false,
         };
         self.leases.insert(subject, lease);
@@ -121,11 +124,13 @@
                 incarnation: beat.incarnation.clone(),
                 last: offset,
                 heard: received,
+                renewal: None,
                 released: false,
             });
             if lease.fence == *fence && lease.incarnation == beat.incarnation && !lease.released {
                 lease.last = offset;
                 lease.heard = received;
+                lease.renewal = Some(beat.number);
             }
         }
         for (window, counts) in beat.counts {
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -37,6 +37,8 @@
     pub node: String,
     /// The writer.
     pub incarnation: Incarnation,
+    /// Number of this sign of life since the start of the process.
+    pub number: u64,
     /// Where callers connect.
     pub front: Option<SocketAddr>,
     /// Availability zone.
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub enum Done {
     /// With a server's answer.
-    Answered(Answer),
+    Answered(Box<Answer>),
     /// No server took it; it has not run.
     NotRun,
     /// It may have run, and no answer came.
@@ -120,7 +120,7 @@
         };
         let (ended, answer) = judge(shared, job, &backend, result);
         match (ended, answer) {
-            (None, Some(answer)) => return Done::Answered(answer),
+            (None, Some(answer)) => return Done::Answered(Box::new(answer)),
             (Some(ended), answer) => {
                 tally.note(ended, answer);
                 if !calls.is_empty() {
@@ -137,7 +137,7 @@
                 if next == Next::Stop {
                     return tally.finish();
                 }
-                if ended == Ended::NotRun && tally.refusals % limits.servers.max(1) == 0 {
+                if ended == Ended::NotRun && tally.refusals.is_multiple_of(limits.servers.max(1)) {
                     tally.tried.clear();
                     sleep(FULL_PAUSE).await;
                 }
@@ -161,7 +161,7 @@
 
     fn finish(self) -> Done {
         match self.last {
-            Some(answer) => Done::Answered(answer),
+            Some(answer) => Done::Answered(Box::new(answer)),
             None if self.unknown || self.runs > 0 => Done::Unknown,
             None => Done::NotRun,
         }
