--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -134,8 +134,7 @@
     let mut sorted = seen.clone();
     sorted.sort_by(f64::total_cmp);
     let median = sorted.get(sorted.len() / 2).copied().unwrap_or(PACE_START);
-    paces
-        .into_iter()
+    seen.into_iter()
         .map(|pace| pace / median.max(f64::MIN_POSITIVE))
         .collect()
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -4,8 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use derive_more::Debug;
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -62,9 +64,15 @@
     },
 }
 
+/// Reads the settings again.
+pub type Reload = Rc<dyn Fn() -> Result<InstanceSettings, String>>;
+
 /// The platform as an instance meets it.
 #[derive(Clone, Debug)]
 pub struct Platform {
+    /// Reads the settings again after SIGHUP.
+    #[debug(skip)]
+    pub reload: Reload,
     /// Its store.
     pub store: Rc<dyn Store>,
     /// Its interface for duties.
@@ -79,6 +87,7 @@
 /// [`StartError`].
 pub async fn run(settings: InstanceSettings, platform: Platform) -> Result<(), StartError> {
     events::init();
+    let read_again = Rc::clone(&platform.reload);
     let shared = shared(settings, platform)?;
     event!("start", "instance" => shared.settings.name, "incarnation" => shared.incarnation,
         "zone" => shared.settings.zone);
@@ -100,6 +109,10 @@
     if shared.settings.duties.usage {
         spawn_local(usage::run(Rc::clone(&shared)));
     }
+    spawn_local(reload(
+        read_again,
+        signal(SignalKind::hangup()).context(SignalsSnafu)?,
+    ));
     stop_signal().await.context(SignalsSnafu)?;
     leave(&shared).await;
     Ok(())
@@ -149,6 +162,19 @@
     Ok(())
 }
 
+/// Checks the settings at each SIGHUP.
+///
+/// What the platform may change at run time does not concern this process; everything else
+/// takes a restart.
+async fn reload(read: Reload, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        match read() {
+            Ok(settings) => event!("reload", "instance" => settings.name, "outcome" => "valid"),
+            Err(error) => event!("reload", "outcome" => "invalid", "error" => error),
+        }
+    }
+}
+
 async fn prune(shared: Rc<Shared>) {
     loop {
         sleep(PRUNE).await;
