--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -236,13 +236,16 @@
                 deadline: Boot::now() + route.timeout,
             };
             match repeat::run(shared, &call).await {
-                Done::Answered(answer) if answer.is_success() => {
+                Done::Answered { answer, .. } if answer.is_success() => {
                     return (ItemEnd::Complete, answer.reply.stamp);
                 }
-                Done::Answered(answer) => {
+                Done::Answered {
+                    answer,
+                    failures: more,
+                } => {
                     event!("score_failed", "item" => task.item.id, "scorer" => scorer.id,
-                        "status" => answer.whole.status().as_u16(), "failures" => failures);
-                    failures += route.attempts.max(1);
+                        "status" => answer.whole.status().as_u16(), "failures" => failures + more);
+                    failures += more;
                 }
                 Done::NotRun | Done::Unknown => {
                     event!("score_missed", "item" => task.item.id, "scorer" => scorer.id);
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -60,7 +60,7 @@
         shared.count_usage(tenant, began);
     }
     match done {
-        Done::Answered(answer) => pass(*answer),
+        Done::Answered { answer, .. } => pass(*answer),
         Done::NotRun => come_back(COME_BACK),
         Done::Unknown if Boot::now() >= job.deadline => status(StatusCode::GATEWAY_TIMEOUT),
         Done::Unknown => status(StatusCode::BAD_GATEWAY),
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -50,7 +50,12 @@
 #[derive(Debug)]
 pub enum Done {
     /// With a server's answer.
-    Answered(Box<Answer>),
+    Answered {
+        /// The answer.
+        answer: Box<Answer>,
+        /// Servers that ran the request and failed, the last one included.
+        failures: u32,
+    },
     /// No server took it; it has not run.
     NotRun,
     /// It may have run, and no answer came.
@@ -62,6 +67,7 @@
     refusals: u32,
     tried: HashSet<String>,
     last: Option<Answer>,
+    failures: u32,
     unknown: bool,
     hedged: bool,
 }
@@ -75,6 +81,7 @@
         refusals: 0,
         tried: HashSet::new(),
         last: None,
+        failures: 0,
         unknown: false,
         hedged: false,
     };
@@ -120,7 +127,7 @@
         };
         let (ended, answer) = judge(shared, job, &backend, result);
         match (ended, answer) {
-            (None, Some(answer)) => return Done::Answered(Box::new(answer)),
+            (None, Some(answer)) => return tally.answered(answer),
             (Some(ended), answer) => {
                 tally.note(ended, answer);
                 if !calls.is_empty() {
@@ -155,13 +162,23 @@
                 self.runs -= 1;
             }
             Ended::Unknown => self.unknown = true,
-            Ended::Failed => self.last = answer,
+            Ended::Failed => {
+                self.failures += 1;
+                self.last = answer;
+            }
+        }
+    }
+
+    fn answered(&self, answer: Answer) -> Done {
+        Done::Answered {
+            answer: Box::new(answer),
+            failures: self.failures,
         }
     }
 
-    fn finish(self) -> Done {
-        match self.last {
-            Some(answer) => Done::Answered(Box::new(answer)),
+    fn finish(mut self) -> Done {
+        match self.last.take() {
+            Some(answer) => self.answered(answer),
             None if self.unknown || self.runs > 0 => Done::Unknown,
             None => Done::NotRun,
         }
