--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -55,7 +55,7 @@
     Misdirected,
     /// The stream broke off or fell silent.
     Broken,
-    /// The server answered with a failure of its own.
+    /// The server ran it and answered with status 500.
     Failed,
     /// The item can never be done.
     Impossible,
@@ -124,8 +124,8 @@
         StatusCode::MISDIRECTED_REQUEST => RunEnd::Misdirected,
         StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
         _ if not_run => RunEnd::NotRun,
-        status if status.is_success() => RunEnd::Broken,
-        _ => RunEnd::Failed,
+        StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+        _ => RunEnd::Broken,
     }
 }
 
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -53,7 +53,7 @@
     Answered {
         /// The answer.
         answer: Box<Answer>,
-        /// Servers that ran the request and failed, the last one included.
+        /// Answers with status 500 so far, this one included.
         failures: u32,
     },
     /// No server took it; it has not run.
@@ -163,7 +163,10 @@
             }
             Ended::Unknown => self.unknown = true,
             Ended::Failed => {
-                self.failures += 1;
+                let is_internal = |answer: &Answer| {
+                    answer.whole.status() == http::StatusCode::INTERNAL_SERVER_ERROR
+                };
+                self.failures += u32::from(answer.as_ref().is_some_and(is_internal));
                 self.last = answer;
             }
         }
