--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -19,9 +19,10 @@
 
 /// Time without an event after which a run is given up.
 ///
-/// A slow engine needs about a seventh of a second for an event; a load of weights takes one
-/// second, and more where several servers load.
-const SILENCE: Duration = Duration::from_millis(2500);
+/// A slow engine needs about a seventh of a second for an event.
+const SILENCE: Duration = Duration::from_millis(900);
+/// The same for a server that loads weights, which takes one second and more.
+const SILENCE_LOADING: Duration = Duration::from_millis(2500);
 /// Pause before a scorer that failed is asked again.
 const SCORE_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two calls of a scorer.
@@ -44,6 +45,15 @@
     pub fit: Fit,
 }
 
+/// What a run tells of its server, and asks about it.
+pub trait Watch {
+    /// Notes the time that a server needed for an event.
+    fn paced(&self, server: &str, span: Duration);
+
+    /// Whether a server loads weights.
+    fn is_loading(&self, backend: &Backend) -> bool;
+}
+
 /// How a run on one server ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RunEnd {
@@ -61,13 +71,13 @@
     Impossible,
 }
 
-/// Runs a task on one server; adds to `sample` and tells of each event's pace.
+/// Runs a task on one server; adds to `sample`.
 pub async fn run(
     shared: &Shared,
     task: &Task,
     backend: &Backend,
     sample: &RefCell<Sample>,
-    mut paced: impl FnMut(Duration),
+    watch: &impl Watch,
 ) -> RunEnd {
     let _running = shared.load.enter(&backend.id);
     let headers = headers(&task.item, &task.host);
@@ -87,7 +97,12 @@
     let limit = shared.connections(&backend.service);
     let pool = &shared.pool;
     let sent = call::send(pool, &*shared.dialect, backend, limit, &outgoing, &dispatch);
-    let arriving = match timeout(SILENCE, sent).await {
+    let silence = if watch.is_loading(backend) {
+        SILENCE_LOADING
+    } else {
+        SILENCE
+    };
+    let arriving = match timeout(silence, sent).await {
         Ok(Ok(arriving)) => arriving,
         Ok(Err(error)) => {
             event!("item_call_failed", "item" => task.item.id, "server" => backend.id,
@@ -106,7 +121,7 @@
     if !status.is_success() || arriving.reply.stamp.is_none() {
         return refused(task, backend, status, arriving).await;
     }
-    stream(shared, task, backend, arriving, sample, &mut paced).await
+    stream(shared, task, backend, arriving, sample, watch).await
 }
 
 async fn refused(
@@ -135,7 +150,7 @@
     backend: &Backend,
     arriving: call::Arriving,
     sample: &RefCell<Sample>,
-    paced: &mut impl FnMut(Duration),
+    watch: &impl Watch,
 ) -> RunEnd {
     let call::Arriving {
         reply,
@@ -148,7 +163,12 @@
     let mut reader = EventReader::default();
     let mut before = Boot::now();
     loop {
-        let frame = match timeout(SILENCE, body.frame()).await {
+        let silence = if watch.is_loading(backend) {
+            SILENCE_LOADING
+        } else {
+            SILENCE
+        };
+        let frame = match timeout(silence, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => break,
             Ok(Some(Err(error))) => {
@@ -182,7 +202,7 @@
                 return RunEnd::Broken;
             }
             let now = Boot::now();
-            paced(now.since(before));
+            watch.paced(&backend.id, now.since(before));
             before = now;
         }
     }
--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -104,8 +104,7 @@
         draft.whole.set(false);
     }
     if !draft.whole.get() {
-        let paced = |span| driver.paced(&backend.id, span);
-        let end = item::run(&driver.shared, task, backend, &draft.sample, paced).await;
+        let end = item::run(&driver.shared, task, backend, &draft.sample, driver).await;
         driver
             .shared
             .metrics
@@ -117,6 +116,10 @@
             return;
         }
         draft.whole.set(true);
+        let key = (task.job.clone(), task.item.id.clone());
+        if let Some(run) = driver.runs.borrow_mut().get_mut(&key) {
+            run.server = None;
+        }
         driver.shared.changed.notify_waiters();
     }
     let text = {
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -4,6 +4,8 @@
 pub mod events;
 pub mod item;
 mod make;
+pub mod moves;
+mod moving;
 pub mod sample;
 mod start;
 pub mod waves;
@@ -21,6 +23,7 @@
 use crate::instance::Shared;
 use crate::instance::deployment::{Deployment, Route};
 use crate::instance::edge::Backend;
+use crate::instance::events::event;
 use crate::job::Job;
 use crate::ledger::record::Subject;
 use make::Drafts;
@@ -30,6 +33,10 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Share of the newest event in a server's pace.
 const PACE_SHARE: f64 = 0.1;
+/// Pace of a server that has made no event lately, in seconds an event.
+const PACE_START: f64 = 0.04;
+/// Time after its last event from which on a server's pace is not known any more.
+const PACE_KEPT: Duration = Duration::from_secs(4);
 
 /// An item of a job, or a group of one.
 type Key = (String, String);
@@ -38,13 +45,15 @@
 #[derive(Debug, Default)]
 struct Run {
     handle: Option<AbortHandle>,
+    /// The server that makes its events, and since when; none while it is scored or listed.
+    server: Option<(String, Boot)>,
 }
 
 /// What is known of a server beside its weights.
 #[derive(Debug, Default)]
 struct Place {
-    /// Pace of events in seconds.
-    pace: Option<f64>,
+    /// Pace of events in seconds, and when the last one came.
+    pace: Option<(f64, Boot)>,
     /// Until when it gets no item.
     rest: Boot,
 }
@@ -93,6 +102,7 @@
                 };
                 if self.shared.leads(&Subject::Service(name.clone())) {
                     self.keep_models(name, &engine.models);
+                    moving::leave_slow(&self, name);
                     let waiting = start::due(&self, &deployment, name);
                     weights::step(&self, name, &waiting);
                 }
@@ -172,7 +182,7 @@
             })
             .collect();
         for (server, model) in assign::assign(&servers, &work) {
-            crate::instance::events::event!("server_model", "server" => server, "model" => model);
+            event!("server_model", "server" => server, "model" => model);
             self.kept
                 .borrow_mut()
                 .insert(server.to_owned(), model.to_owned());
@@ -227,12 +237,21 @@
             .rest = until;
     }
 
-    fn paced(&self, server: &str, span: Duration) {
-        let mut places = self.places.borrow_mut();
-        let place = places.entry(server.to_owned()).or_default();
-        let span = span.as_secs_f64();
-        let before = place.pace.unwrap_or(span);
-        place.pace = Some(before + (span - before) * PACE_SHARE);
+    /// Paces of servers against their median.
+    fn paces(&self, servers: &[&Rc<Backend>], now: Boot) -> Vec<f64> {
+        let places = self.places.borrow();
+        let one = |backend: &&Rc<Backend>| {
+            let pace = places.get(&backend.id).and_then(|place| place.pace);
+            let fresh = pace.filter(|(_, seen)| now < *seen + PACE_KEPT);
+            fresh.map_or(PACE_START, |(pace, _)| pace)
+        };
+        let seen: Vec<f64> = servers.iter().map(one).collect();
+        let mut sorted = seen.clone();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted.get(sorted.len() / 2).copied().unwrap_or(PACE_START);
+        seen.into_iter()
+            .map(|pace| pace / median.max(f64::MIN_POSITIVE))
+            .collect()
     }
 
     /// Forgets what belongs to jobs and servers that are gone.
@@ -253,6 +272,34 @@
     }
 }
 
+impl item::Watch for Driver {
+    fn paced(&self, server: &str, span: Duration) {
+        let mut places = self.places.borrow_mut();
+        let place = places.entry(server.to_owned()).or_default();
+        let span = span.as_secs_f64();
+        let before = place.pace.map_or(span, |(pace, _)| pace);
+        place.pace = Some((before + (span - before) * PACE_SHARE, Boot::now()));
+    }
+
+    fn is_loading(&self, backend: &Backend) -> bool {
+        self.weights.is_loading(backend)
+    }
+}
+
+impl Driver {
+    /// Stops a run so that its item goes on elsewhere, from the text made so far.
+    fn requeue(&self, key: &Key, reason: &str) {
+        let run = self.runs.borrow_mut().remove(key);
+        if let Some(run) = run {
+            let server = run.server.map(|(server, _)| server).unwrap_or_default();
+            event!("item_move", "job" => key.0, "item" => key.1, "from" => server, "why" => reason);
+            if let Some(handle) = run.handle {
+                handle.abort();
+            }
+        }
+    }
+}
+
 /// The route that a job was submitted to.
 fn route<'a>(deployment: &'a Deployment, job: &Job) -> Option<&'a Rc<Route>> {
     deployment.route(&job.record.host, &job.record.path)
--- /dev/null
+++ b/src/drive/moving.rs
@@ -0,0 +1,123 @@
+//! Moves running items to other servers.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use super::moves::{Running, Seat, empties, faster};
+use super::{Driver, Key};
+use crate::boot::Boot;
+use crate::instance::edge::Backend;
+
+/// Running items of a service, and the servers with room.
+pub(super) struct Board {
+    keys: Vec<Key>,
+    items: Vec<Running>,
+    servers: Vec<String>,
+    seats: Vec<Seat>,
+    ids: Vec<String>,
+}
+
+impl Board {
+    pub(super) fn new(driver: &Driver, service: &str, now: Boot) -> Self {
+        let fleet = driver.shared.fleet.borrow();
+        let usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
+        let paces = driver.paces(&usable, now);
+        let models = models(driver, &usable);
+        let mut board = Self {
+            keys: Vec::new(),
+            items: Vec::new(),
+            servers: Vec::new(),
+            seats: Vec::new(),
+            ids: Vec::new(),
+        };
+        for (backend, pace) in usable.iter().zip(&paces) {
+            if driver.weights.is_loading(backend) || driver.rests(&backend.id, now) {
+                continue;
+            }
+            let running = driver.shared.load.running(&backend.id);
+            let kept = driver.model_of(backend);
+            let mut versions = vec![0; models.len()];
+            if let Some(number) = models.get(&kept) {
+                versions[*number] = driver.weights.version(backend, &kept);
+            }
+            let free = backend.slots.saturating_sub(running);
+            board.seats.push(Seat {
+                free,
+                pace: *pace,
+                versions,
+            });
+            board.ids.push(backend.id.clone());
+        }
+        board.add_runs(driver, &usable, &paces, &models);
+        board
+    }
+
+    fn add_runs(
+        &mut self,
+        driver: &Driver,
+        usable: &[&Rc<Backend>],
+        paces: &[f64],
+        models: &HashMap<String, usize>,
+    ) {
+        let fold = driver.shared.fold.borrow();
+        for (key, run) in &*driver.runs.borrow() {
+            let Some((server, since)) = &run.server else {
+                continue;
+            };
+            let at = usable.iter().position(|backend| backend.id == *server);
+            let Some((at, job)) = at.zip(fold.jobs.get(&key.0)) else {
+                continue;
+            };
+            let Some(model) = models.get(&job.record.model) else {
+                continue;
+            };
+            self.keys.push(key.clone());
+            self.servers.push(server.clone());
+            self.items.push(Running {
+                pace: paces[at],
+                since: *since,
+                min_version: job.record.min_version,
+                model: *model,
+            });
+        }
+    }
+
+    /// Whether the items of a server find room elsewhere; if so, they are moved.
+    pub(super) fn empty(&mut self, driver: &Driver, server: &str) -> bool {
+        let own: Vec<usize> = (0..self.items.len())
+            .filter(|at| self.servers[*at] == server)
+            .collect();
+        let items: Vec<Running> = own.iter().map(|at| self.items[*at]).collect();
+        if let Some(at) = self.ids.iter().position(|id| id == server) {
+            self.seats[at].free = 0;
+        }
+        let moved = empties(&items, &mut self.seats);
+        if moved {
+            for at in own {
+                driver.requeue(&self.keys[at], "load");
+            }
+        }
+        moved
+    }
+}
+
+fn models(driver: &Driver, usable: &[&Rc<Backend>]) -> HashMap<String, usize> {
+    let mut models = HashMap::new();
+    for backend in usable {
+        let next = models.len();
+        models.entry(driver.model_of(backend)).or_insert(next);
+    }
+    models
+}
+
+/// Moves items from slow servers to faster ones with room.
+pub(super) fn leave_slow(driver: &Driver, service: &str) {
+    if driver.shared.leaving.get().is_some() {
+        return;
+    }
+    let now = Boot::now();
+    let mut board = Board::new(driver, service, now);
+    for at in faster(&board.items, &mut board.seats, now) {
+        driver.requeue(&board.keys[at], "slow");
+    }
+}
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -5,7 +5,7 @@
 use super::item::Task;
 use super::make::{self, Ended};
 use super::sample::Fit;
-use super::{Driver, Models, Run, route, service};
+use super::{Driver, Key, Models, Run, route, service};
 use crate::boot::Boot;
 use crate::instance::deployment::Deployment;
 use crate::instance::edge::Backend;
@@ -15,9 +15,6 @@
 use crate::job::place::{Seat, place};
 use crate::util::{millis, unix_ms};
 
-/// Pace of a server that has made no event yet, in seconds an event.
-const PACE_START: f64 = 0.04;
-
 /// Servers with room, as the placing of items changes them.
 struct Room<'a> {
     servers: Vec<&'a Rc<Backend>>,
@@ -63,14 +60,9 @@
         };
         if let Some(text) = earlier(&fold.jobs, job, &item.id, fit) {
             let task = task(job, waiting.at, fit);
-            spawn(
-                driver,
-                &task.job.clone(),
-                &task.item.id.clone(),
-                |driver| async move {
-                    driver.finish(&task, text).await;
-                },
-            );
+            spawn(driver, key(job, &item.id), None, |driver| async move {
+                driver.finish(&task, text).await;
+            });
             continue;
         }
         let Some(at) = seat(driver, &room, job, waiting.at) else {
@@ -86,8 +78,8 @@
         let task = task(job, waiting.at, fit);
         spawn(
             driver,
-            &task.job.clone(),
-            &task.item.id.clone(),
+            key(job, &item.id),
+            Some((backend.id.clone(), now)),
             move |driver| async move {
                 make::make(&driver, &task, &backend, attempts).await;
             },
@@ -96,7 +88,7 @@
     left
 }
 
-fn key(job: &Job, part: &str) -> super::Key {
+fn key(job: &Job, part: &str) -> Key {
     (job.record.id.clone(), part.to_owned())
 }
 
@@ -112,7 +104,7 @@
     };
     Room {
         free: servers.iter().map(free).collect(),
-        paces: paces(driver, &servers),
+        paces: driver.paces(&servers, now),
         models: servers
             .iter()
             .map(|backend| driver.model_of(backend))
@@ -121,24 +113,6 @@
     }
 }
 
-/// Paces of servers against their median.
-fn paces(driver: &Driver, servers: &[&Rc<Backend>]) -> Vec<f64> {
-    let places = driver.places.borrow();
-    let one = |backend: &&Rc<Backend>| {
-        places
-            .get(&backend.id)
-            .and_then(|place| place.pace)
-            .unwrap_or(PACE_START)
-    };
-    let seen: Vec<f64> = servers.iter().map(one).collect();
-    let mut sorted = seen.clone();
-    sorted.sort_by(f64::total_cmp);
-    let median = sorted.get(sorted.len() / 2).copied().unwrap_or(PACE_START);
-    seen.into_iter()
-        .map(|pace| pace / median.max(f64::MIN_POSITIVE))
-        .collect()
-}
-
 fn seat(driver: &Driver, room: &Room<'_>, job: &Job, at: usize) -> Option<usize> {
     let model = &job.record.model;
     let seats: Vec<Seat<'_>> = (0..room.servers.len())
@@ -184,7 +158,7 @@
 }
 
 /// Starts a run and remembers how to stop it.
-fn spawn<F, Fut>(driver: &Rc<Driver>, job: &str, item: &str, run: F)
+fn spawn<F, Fut>(driver: &Rc<Driver>, key: Key, server: Option<(String, Boot)>, run: F)
 where
     F: FnOnce(Rc<Driver>) -> Fut,
     Fut: Future<Output = ()> + 'static,
@@ -192,9 +166,7 @@
     let running = tokio::task::spawn_local(run(Rc::clone(driver)));
     let run = Run {
         handle: Some(running.abort_handle()),
+        server,
     };
-    driver
-        .runs
-        .borrow_mut()
-        .insert((job.to_owned(), item.to_owned()), run);
+    driver.runs.borrow_mut().insert(key, run);
 }
--- a/src/drive/waves.rs
+++ b/src/drive/waves.rs
@@ -3,7 +3,8 @@
 //! The load pattern: a trainer names a version and submits its next round at about the same
 //! moment, so servers must change weights while rounds run, and loads slow each other down.
 //! A few load at a time. Servers whose weights are too old for an open round go first;
-//! others only while they have nothing to do, so that no running sample waits for a load.
+//! others only while no item waits that they could take, and if what they run finds room
+//! elsewhere, so that no sample waits for a load.
 
 /// Servers for each one that may load at the same time: loads slow each other down beyond.
 const SERVERS_PER_LOAD: f64 = 4.5;
@@ -34,7 +35,7 @@
 
     fn is_due(&self) -> bool {
         let behind = self.version < self.named && !self.loading;
-        behind && (self.is_urgent() || (self.running == 0 && !self.wanted))
+        behind && (self.is_urgent() || !self.wanted)
     }
 }
 
--- a/src/drive/weights.rs
+++ b/src/drive/weights.rs
@@ -9,6 +9,7 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::time::sleep;
 
+use super::moving::Board;
 use super::waves::{Loadable, next};
 use super::{Driver, Models};
 use crate::boot::Boot;
@@ -149,8 +150,13 @@
         });
         models.push(model);
     }
+    let mut board = Board::new(driver, service, now);
     for at in next(&servers) {
         let backend = Rc::clone(usable[at]);
+        let is_empty = servers[at].running == 0 || board.empty(driver, &backend.id);
+        if !is_empty && servers[at].version >= servers[at].oldest {
+            continue;
+        }
         driver
             .weights
             .update(&backend, |known| known.loading = true);
