--- a/src/instance/leases.rs
+++ b/src/instance/leases.rs
@@ -63,7 +63,14 @@
         }
         let stagger = stagger(shared, &subject, seen, contact.since);
         let span = shared.settings.bounds.lease;
-        if !may_claim(lease, seen, contact.since, stagger, span) {
+        if !may_claim(
+            lease,
+            &shared.settings.name,
+            seen,
+            contact.since,
+            stagger,
+            span,
+        ) {
             return;
         }
         lease.map(|lease| lease.last)
@@ -72,6 +79,7 @@
     let record = Record::Claim {
         subject: subject.clone(),
         incarnation: shared.incarnation.clone(),
+        node: shared.settings.name.clone(),
         succeeds,
     };
     // A claim whose answer is late shows in the log all the same.
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -34,6 +34,8 @@
     pub fence: u64,
     /// Who holds it.
     pub incarnation: Incarnation,
+    /// Name of its instance.
+    pub node: String,
     /// Offset of the last claim or renewal.
     pub last: u64,
     /// When that was read here.
@@ -67,8 +69,20 @@
             Record::Claim {
                 subject,
                 incarnation,
+                node,
                 succeeds,
-            } => self.claim(subject, incarnation, succeeds, offset, received),
+            } => {
+                let lease = Lease {
+                    fence: offset,
+                    incarnation,
+                    node,
+                    last: offset,
+                    heard: received,
+                    renewal: None,
+                    released: false,
+                };
+                self.claim(subject, lease, succeeds);
+            }
             Record::Release { subject, fence } => {
                 let lease = self.leases.get_mut(&subject);
                 if let Some(lease) = lease.filter(|lease| lease.fence == fence) {
@@ -94,26 +108,10 @@
         }
     }
 
-    fn claim(
-        &mut self,
-        subject: Subject,
-        incarnation: Incarnation,
-        succeeds: Option<u64>,
-        offset: u64,
-        received: Boot,
-    ) {
-        if self.leases.get(&subject).map(|lease| lease.last) != succeeds {
-            return;
+    fn claim(&mut self, subject: Subject, lease: Lease, succeeds: Option<u64>) {
+        if self.leases.get(&subject).map(|known| known.last) == succeeds {
+            self.leases.insert(subject, lease);
         }
-        let lease = Lease {
-            fence: offset,
-            incarnation,
-            last: offset,
-            heard: received,
-            renewal: None,
-            released: false,
-        };
-        self.leases.insert(subject, lease);
     }
 
     fn beat(&mut self, beat: Beat, offset: u64, received: Boot) {
@@ -122,6 +120,7 @@
             let lease = self.leases.entry(subject.clone()).or_insert(Lease {
                 fence: *fence,
                 incarnation: beat.incarnation.clone(),
+                node: beat.node.clone(),
                 last: offset,
                 heard: received,
                 renewal: None,
--- a/src/ledger/lease.rs
+++ b/src/ledger/lease.rs
@@ -26,11 +26,14 @@
 
 /// Whether a lease may be claimed.
 ///
-/// `seen` is when the read was sent that last showed the log's end, `since` when reads began
-/// to succeed, and `stagger` keeps claimants apart.
+/// `node` is the claimant's instance, `seen` when the read was sent that last showed the
+/// log's end, `since` when reads began to succeed, and `stagger` keeps claimants apart.
+///
+/// An instance runs one process, so whatever its instance held before its start is free.
 #[must_use]
 pub fn may_claim(
     lease: Option<&Lease>,
+    node: &str,
     seen: Boot,
     since: Boot,
     stagger: Duration,
@@ -38,7 +41,7 @@
 ) -> bool {
     match lease {
         None => since + stagger <= seen,
-        Some(lease) if lease.released => true,
+        Some(lease) if lease.released || lease.node == node => true,
         Some(lease) => lease.heard.max(since) + hold(span) + MARGIN + stagger < seen,
     }
 }
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -64,6 +64,8 @@
         subject: Subject,
         /// The claimant.
         incarnation: Incarnation,
+        /// Name of its instance.
+        node: String,
         /// Offset of the last claim or renewal that the claimant knows of.
         succeeds: Option<u64>,
     },
