--- /dev/null
+++ b/src/duty/scale.rs
@@ -0,0 +1,140 @@
+//! Orders backend servers for the services that this instance leads.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::capacity::{ZoneState, plan, wanted};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::deployment::{Scaling, Service};
+use crate::instance::edge::CloudReply;
+use crate::instance::events::event;
+use crate::ledger::record::Subject;
+use crate::util::{millis, unix_ms};
+
+/// Time between two looks at the servers.
+const LOOK: Duration = Duration::from_millis(500);
+/// Time after which a zone with too few servers is ordered for again.
+///
+/// Longer than a server needs to start, or to come back after a crash.
+const AGAIN: Duration = Duration::from_secs(8);
+/// Rounds that are older do not count.
+const RECENT: Duration = Duration::from_secs(30);
+/// Time within which an order is answered.
+const ANSWER: Duration = Duration::from_millis(900);
+
+/// What was ordered for a zone, and when.
+#[derive(Clone, Copy, Debug)]
+struct Ordered {
+    count: usize,
+    at: Boot,
+}
+
+/// Orders by service and zone.
+type Orders = BTreeMap<(String, String), Ordered>;
+
+/// Orders servers while the leases are held, for ever.
+pub async fn run(shared: Rc<Shared>) {
+    let mut orders = Orders::new();
+    loop {
+        sleep(LOOK).await;
+        let Some(deployment) = shared.deployment() else {
+            continue;
+        };
+        for (name, service) in &deployment.services {
+            let subject = Subject::Service(name.clone());
+            if shared.held(&subject, Boot::now()).is_none() {
+                orders.retain(|(service, _), _| service != name);
+                continue;
+            }
+            if let Some(scaling) = &service.scaling {
+                step(&shared, &mut orders, name, service, scaling).await;
+            }
+        }
+    }
+}
+
+async fn step(
+    shared: &Shared,
+    orders: &mut Orders,
+    name: &str,
+    service: &Service,
+    scaling: &Scaling,
+) {
+    let zones = zones(shared, orders, name, scaling);
+    let total = total(shared, name, service);
+    let max = usize::try_from(scaling.max).unwrap_or(usize::MAX);
+    let counts = plan(&zones, total, max);
+    for (zone, count) in zones.iter().zip(counts) {
+        let now = Boot::now();
+        let key = (name.to_owned(), zone.zone.clone());
+        let present = present(shared, name, &zone.zone);
+        let recent = orders
+            .get(&key)
+            .is_some_and(|order| order.count >= count && now < order.at + AGAIN);
+        if present >= count || recent {
+            continue;
+        }
+        let Some(holder) = shared.held(&Subject::Service(name.to_owned()), now) else {
+            return;
+        };
+        let Some(cloud) = &shared.cloud else {
+            return;
+        };
+        let reply = timeout(ANSWER, cloud.scale(&holder, name, &zone.zone, count)).await;
+        let reply = reply.unwrap_or(CloudReply::Later);
+        event!("servers_order", "service" => name, "zone" => zone.zone, "count" => count,
+            "present" => present, "fence" => holder.fence, "reply" => format!("{reply:?}"));
+        orders.insert(key, Ordered { count, at: now });
+    }
+}
+
+fn present(shared: &Shared, service: &str, zone: &str) -> usize {
+    let fleet = shared.fleet.borrow();
+    let usable = fleet.usable(service, Boot::now());
+    usable.filter(|backend| backend.zone == zone).count()
+}
+
+fn zones(shared: &Shared, orders: &Orders, name: &str, scaling: &Scaling) -> Vec<ZoneState> {
+    let state = |(zone, price): (&String, &f64)| {
+        let ordered = orders
+            .get(&(name.to_owned(), zone.clone()))
+            .map_or(0, |order| order.count);
+        let have = present(shared, name, zone).max(ordered);
+        ZoneState {
+            zone: zone.clone(),
+            price: *price,
+            have,
+        }
+    };
+    // Only zones in which the service runs may be ordered for.
+    let all = scaling.prices.iter().map(state);
+    all.filter(|state| state.have > 0).collect()
+}
+
+/// Servers wanted for the largest recent round of each model.
+fn total(shared: &Shared, name: &str, service: &Service) -> usize {
+    let models = service.engine.iter().flat_map(|engine| &engine.models);
+    let oldest = unix_ms().saturating_sub(millis(RECENT));
+    let fold = shared.fold.borrow();
+    let largest = |model: &str| {
+        let jobs = fold.jobs.iter().filter(|job| job.record.model == model);
+        let recent = jobs.filter(|job| job.record.submitted > oldest);
+        recent
+            .map(|job| job.record.items.len())
+            .max()
+            .unwrap_or_default()
+    };
+    let items: BTreeMap<&str, usize> = models
+        .map(|model| (model.as_str(), largest(model)))
+        .collect();
+    let fleet = shared.fleet.borrow();
+    let slots = fleet
+        .usable(name, Boot::now())
+        .map(|backend| backend.slots)
+        .max();
+    wanted(&items, slots.unwrap_or(1))
+}
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -19,7 +19,7 @@
 use super::{Contacts, Shared, beat, directory, follow, leases};
 use crate::boot::Boot;
 use crate::drive::Driver;
-use crate::duty::usage;
+use crate::duty::{scale, usage};
 use crate::front::listen;
 use crate::ledger::fold::Fold;
 use crate::ledger::record::Incarnation;
@@ -106,6 +106,9 @@
     spawn_local(leases::run(Rc::clone(&shared)));
     spawn_local(Driver::new(Rc::clone(&shared)).run());
     spawn_local(prune(Rc::clone(&shared)));
+    if shared.settings.duties.scale {
+        spawn_local(scale::run(Rc::clone(&shared)));
+    }
     if shared.settings.duties.usage {
         spawn_local(usage::run(Rc::clone(&shared)));
     }
