--- a/src/ledger/writer.rs
+++ b/src/ledger/writer.rs
@@ -23,6 +23,7 @@
 pub type Written = oneshot::Receiver<Boot>;
 
 struct Queued {
+    number: u64,
     pieces: Vec<Bytes>,
     done: oneshot::Sender<Boot>,
 }
@@ -30,6 +31,8 @@
 #[derive(Default)]
 struct Queue {
     waiting: VecDeque<Queued>,
+    /// Records queued so far.
+    count: u64,
     /// Since when the batch under way has been unanswered.
     stuck: Option<Boot>,
 }
@@ -70,34 +73,43 @@
         }
     }
 
-    /// Queues a record.
+    /// Queues a record. It is written whether or not anybody waits for it.
     #[must_use]
     pub fn push(&self, record: &Record) -> Written {
+        self.enqueue(record).1
+    }
+
+    fn enqueue(&self, record: &Record) -> (u64, Written) {
         let (done, written) = oneshot::channel();
         let pieces = encode(record, self.record_bytes);
-        self.queue
-            .borrow_mut()
-            .waiting
-            .push_back(Queued { pieces, done });
+        let mut queue = self.queue.borrow_mut();
+        queue.count += 1;
+        let number = queue.count;
+        queue.waiting.push_back(Queued {
+            number,
+            pieces,
+            done,
+        });
         self.wake.notify_one();
-        written
+        (number, written)
     }
 
     /// Queues a record and waits for its acknowledgement until `deadline`.
+    ///
+    /// Past the deadline the record is taken back if it was not sent yet.
     pub async fn write(&self, record: &Record, deadline: Boot) -> Outcome {
-        let mut written = self.push(record);
+        let (number, mut written) = self.enqueue(record);
         let left = deadline.left(Boot::now());
         if let Ok(Ok(sent)) = timeout(left, &mut written).await {
             return Outcome::Written(sent);
         }
-        written.close();
         let mut queue = self.queue.borrow_mut();
         let before = queue.waiting.len();
-        queue.waiting.retain(|queued| !queued.done.is_closed());
-        match written.try_recv() {
-            Ok(sent) => Outcome::Written(sent),
-            Err(_) if queue.waiting.len() < before => Outcome::Unsent,
-            Err(_) => Outcome::Unknown,
+        queue.waiting.retain(|queued| queued.number != number);
+        if queue.waiting.len() < before {
+            Outcome::Unsent
+        } else {
+            Outcome::Unknown
         }
     }
 
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -16,6 +16,7 @@
 
 use crate::boot::Boot;
 use crate::instance::edge::Backend;
+use crate::instance::events::event;
 
 /// Time within which a connection must be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -174,6 +175,7 @@
             // The sender sees the same error.
             let _ = connection.await;
         });
+        event!("connection", "server" => backend.id, "service" => backend.service);
         self.opened.set(self.opened.get() + 1);
         self.slots.borrow_mut().entry(key.clone()).or_default().open += 1;
         Ok(Lane {
