--- /dev/null
+++ b/tests/instance/admit.rs
@@ -0,0 +1,93 @@
+//! Who is let in while an instance starts, is cut off, or reads of a change late.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use basillead::front::admit::{Denied, Knowledge, admit};
+use basillead::instance::deployment::{Deployment, Limits, Route, RouteKind};
+
+fn deployment() -> Deployment {
+    let route = |name: &str, prefix: &str, public: bool| {
+        Rc::new(Route {
+            name: name.to_owned(),
+            host: "desk.example".to_owned(),
+            prefix: prefix.to_owned(),
+            kind: RouteKind::Idempotent,
+            timeout: Duration::from_secs(2),
+            objective: Duration::from_millis(150),
+            attempts: 2,
+            public,
+            single_version: false,
+            retention: Duration::from_secs(30),
+            targets: vec![("desk".to_owned(), 1)],
+        })
+    };
+    Deployment {
+        version: 4,
+        routes: vec![
+            route("wide", "/a/", false),
+            route("narrow", "/a/b/", false),
+            route("open", "/open/", true),
+        ],
+        services: BTreeMap::new(),
+        keys: Some(HashMap::from([("k".to_owned(), Rc::from("studio"))])),
+        limits: Limits {
+            head_bytes: 1000,
+            body_bytes: 1000,
+            idle: Duration::from_secs(15),
+        },
+    }
+}
+
+fn ask(fresh: bool, current: bool, path: &str, key: Option<&str>) -> Result<String, Denied> {
+    let deployment = deployment();
+    let knowledge = Knowledge {
+        deployment: Some(&deployment),
+        fresh,
+        current,
+    };
+    admit(knowledge, "desk.example", path, key).map(|admitted| admitted.route.name.clone())
+}
+
+#[test]
+fn admit_longest_prefix() {
+    assert_eq!(
+        ask(true, true, "/a/b/c", Some("k")),
+        Ok("narrow".to_owned())
+    );
+    assert_eq!(ask(true, true, "/a/bc", Some("k")), Ok("wide".to_owned()));
+}
+
+#[test]
+fn admit_without_configuration() {
+    let knowledge = Knowledge {
+        deployment: None,
+        fresh: false,
+        current: false,
+    };
+    let denied = admit(knowledge, "desk.example", "/a/", Some("k"));
+    assert_eq!(denied.err(), Some(Denied::Unsure));
+}
+
+#[test]
+fn admit_cut_off() {
+    // A key may have been withdrawn meanwhile; a public route needs none.
+    assert_eq!(ask(false, false, "/a/x", Some("k")), Err(Denied::Unsure));
+    assert_eq!(ask(false, false, "/open/x", None), Ok("open".to_owned()));
+}
+
+#[test]
+fn admit_a_moment_behind() {
+    // The key is good for its bound, but a new route or key may be on its way.
+    assert_eq!(ask(true, false, "/a/x", Some("k")), Ok("wide".to_owned()));
+    assert_eq!(ask(true, false, "/new/x", Some("k")), Err(Denied::Unsure));
+    assert_eq!(ask(true, false, "/a/x", Some("new")), Err(Denied::Unsure));
+}
+
+#[test]
+fn admit_sure_refusals() {
+    assert_eq!(ask(true, true, "/new/x", Some("k")), Err(Denied::NoRoute));
+    assert_eq!(ask(true, true, "/a/x", Some("old")), Err(Denied::NoKey));
+    assert_eq!(ask(true, true, "/a/x", None), Err(Denied::NoKey));
+}
--- /dev/null
+++ b/tests/instance/fleet.rs
@@ -0,0 +1,108 @@
+//! Servers whose entries lapse with the store, and contact with the store itself.
+
+use std::collections::BTreeMap;
+
+use basillead::instance::contact::Contact;
+use basillead::instance::edge::{Backend, ServerNews, ServerState};
+use basillead::instance::fleet::Fleet;
+
+use crate::{at, ms};
+
+fn backend(id: &str, state: ServerState) -> Backend {
+    Backend {
+        id: id.to_owned(),
+        born: 1,
+        service: "desk".to_owned(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".to_owned(),
+        slots: 4,
+        state,
+        weights: BTreeMap::new(),
+    }
+}
+
+fn news(id: &str, entry: Option<Backend>) -> ServerNews {
+    ServerNews {
+        id: id.to_owned(),
+        entry,
+    }
+}
+
+fn usable(fleet: &Fleet, now: u64) -> usize {
+    fleet.usable("desk", at(now)).count()
+}
+
+/// Contact that has been unbroken since `since`.
+fn contact(since: u64, seen: u64) -> Contact {
+    Contact {
+        seen: Some(at(seen)),
+        since: at(since),
+    }
+}
+
+#[test]
+fn fleet_removed_in_calm() {
+    let mut fleet = Fleet::default();
+    let calm = contact(0, 10_000);
+    fleet.apply(
+        news("s1", Some(backend("s1", ServerState::Ready))),
+        &calm,
+        at(10_000),
+    );
+    assert_eq!(usable(&fleet, 10_000), 1);
+    fleet.apply(news("s1", None), &calm, at(10_100));
+    assert_eq!(usable(&fleet, 10_100), 0);
+}
+
+#[test]
+fn fleet_lapsed_in_outage() {
+    let mut fleet = Fleet::default();
+    fleet.apply(
+        news("s1", Some(backend("s1", ServerState::Ready))),
+        &contact(0, 900),
+        at(1000),
+    );
+    // The store was away from 1 s to 9 s; the entry lapsed with it.
+    let back = contact(9000, 9000);
+    fleet.apply(news("s1", None), &back, at(9050));
+    assert_eq!(
+        usable(&fleet, 9050),
+        1,
+        "it may only have been unable to reach the store"
+    );
+    fleet.prune(at(11_300));
+    assert_eq!(usable(&fleet, 11_300), 0, "it has not come back in time");
+}
+
+#[test]
+fn fleet_draining_takes_nothing_new() {
+    let mut fleet = Fleet::default();
+    let calm = contact(0, 900);
+    fleet.apply(
+        news("s1", Some(backend("s1", ServerState::Ready))),
+        &calm,
+        at(1000),
+    );
+    fleet.apply(
+        news("s1", Some(backend("s1", ServerState::Draining))),
+        &calm,
+        at(1100),
+    );
+    assert_eq!(usable(&fleet, 1100), 0);
+    assert!(fleet.get("s1").is_some(), "what runs there goes on");
+}
+
+#[test]
+fn contact_broken_by_silence() {
+    let mut contact = Contact::default();
+    contact.note(at(100), at(600));
+    contact.note(at(600), at(1100));
+    assert_eq!(contact.since, at(600), "unbroken since the first answer");
+    contact.note(at(9000), at(9010));
+    assert_eq!(contact.since, at(9010), "eight seconds of silence break it");
+    assert!(contact.is_within(ms(3000), at(11_900)));
+    assert!(
+        !contact.is_within(ms(3000), at(12_000)),
+        "age counts from the sending"
+    );
+}
--- /dev/null
+++ b/tests/instance/fold.rs
@@ -0,0 +1,169 @@
+//! The fold of the log: the same state from the same records, however often they come.
+
+use std::collections::BTreeMap;
+
+use basillead::job::{Item, ItemEnd, JobRecord, Jobs, Listed};
+use basillead::ledger::fold::Fold;
+use basillead::ledger::record::{Beat, Decoder, Incarnation, Record, encode};
+use bytes::Bytes;
+use proptest::prelude::*;
+
+use crate::at;
+
+pub(crate) fn item(id: &str, group: &str, hint: u64) -> Item {
+    Item {
+        id: id.to_owned(),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"x"),
+        group: group.to_owned(),
+        hint,
+        scorer: None,
+    }
+}
+
+pub(crate) fn job(id: &str, target: usize, items: Vec<Item>) -> JobRecord {
+    JobRecord {
+        id: id.to_owned(),
+        host: "h".to_owned(),
+        path: "/p/".to_owned(),
+        tenant: None,
+        submitted: 1000,
+        model: "m".to_owned(),
+        min_version: 1,
+        group_target: target,
+        items,
+    }
+}
+
+pub(crate) fn listed(item: &str, output: &str) -> Listed {
+    Listed {
+        item: item.to_owned(),
+        end: ItemEnd::Complete,
+        output: output.to_owned(),
+        versions: vec![1],
+        score: None,
+    }
+}
+
+pub(crate) fn beat(node: &str, number: u64, wall: u64) -> Beat {
+    Beat {
+        node: node.to_owned(),
+        incarnation: Incarnation(format!("{node}-1")),
+        number,
+        front: None,
+        zone: "z".to_owned(),
+        ready: true,
+        wall,
+        leases: BTreeMap::new(),
+        counts: BTreeMap::new(),
+    }
+}
+
+#[test]
+fn jobs_first_result_counts() {
+    let mut jobs = Jobs::default();
+    jobs.accept(job("j", 1, vec![item("a", "g", 0), item("b", "g", 0)]));
+    jobs.list("j", listed("b", "one"));
+    jobs.list("j", listed("b", "two"));
+    jobs.list("j", listed("other", "three"));
+    let known = jobs.get("j").expect("the job");
+    assert_eq!(known.listed.len(), 1);
+    assert_eq!(known.listed[0].output, "one");
+    // A repeated submission changes nothing that is listed.
+    jobs.accept(job("j", 1, vec![item("c", "g", 0)]));
+    assert_eq!(jobs.get("j").expect("the job").record.items.len(), 2);
+}
+
+#[test]
+fn jobs_pruned_when_old_and_finished() {
+    let mut jobs = Jobs::default();
+    jobs.accept(job("open", 1, vec![item("a", "g", 0)]));
+    jobs.accept(job("done", 1, vec![item("b", "g", 0)]));
+    jobs.end("done");
+    jobs.prune(200_000, std::time::Duration::from_secs(130));
+    assert!(jobs.get("open").is_some(), "an open job stays readable");
+    assert!(jobs.get("done").is_none());
+}
+
+#[test]
+fn windows_keep_their_first_figure() {
+    let mut fold = Fold::default();
+    let mut first = beat("n1", 1, 0);
+    first.counts = BTreeMap::from([(7, BTreeMap::from([("t".to_owned(), 3)]))]);
+    fold.apply(Record::Beat(first.clone()), 0, at(0));
+    first.counts = BTreeMap::from([(7, BTreeMap::from([("t".to_owned(), 5)]))]);
+    fold.apply(Record::Beat(first), 1, at(10));
+    assert_eq!(fold.counted(7)["t"], 5, "counters are cumulative");
+    let counts = fold.counted(7);
+    fold.apply(Record::Window { window: 7, counts }, 2, at(20));
+    let late = BTreeMap::from([("t".to_owned(), 9)]);
+    fold.apply(
+        Record::Window {
+            window: 7,
+            counts: late,
+        },
+        3,
+        at(30),
+    );
+    assert_eq!(fold.windows[&7].0["t"], 5);
+}
+
+#[test]
+fn records_in_pieces() {
+    let items = (0..50).map(|n| item(&format!("i{n}"), "g", n)).collect();
+    let record = Record::Job(Box::new(job("j", 1, items)));
+    let pieces = encode(&record, 100);
+    assert!(pieces.len() > 10 && pieces.iter().all(|piece| piece.len() <= 100));
+    let mut decoder = Decoder::default();
+    let mut whole = pieces.iter().map(|piece| decoder.push(piece));
+    let last = whole
+        .by_ref()
+        .last()
+        .expect("pieces")
+        .expect("a whole record");
+    assert_eq!(last, Some(record));
+    assert!(decoder.push(&[]).is_err());
+    assert!(decoder.push(&[0, 0xff]).is_err(), "noise is passed over");
+    assert_eq!(
+        decoder.push(
+            &encode(
+                &Record::End {
+                    job: "j".to_owned()
+                },
+                100
+            )[0]
+        ),
+        Ok(Some(Record::End {
+            job: "j".to_owned()
+        }))
+    );
+}
+
+proptest! {
+    /// Two owners list the same items in any order; all readers see the same positions, each
+    /// item once.
+    #[test]
+    fn jobs_any_order(picks in prop::collection::vec((0usize..6, 0u8..2), 0..40)) {
+        let names = ["a", "b", "c", "d", "e", "f"];
+        let items = names.iter().map(|name| item(name, "g", 0)).collect();
+        let mut one = Jobs::default();
+        let mut two = Jobs::default();
+        one.accept(job("j", 1, names.iter().map(|name| item(name, "g", 0)).collect()));
+        two.accept(job("j", 1, items));
+        for (at, (pick, owner)) in picks.iter().enumerate() {
+            let result = listed(names[*pick], &format!("owner {owner}"));
+            one.list("j", result.clone());
+            two.list("j", result);
+            if at % 3 == 0 {
+                // The other reader started late and sees a record twice.
+                two.accept(job("j", 1, Vec::new()));
+            }
+        }
+        let (one, two) = (one.get("j").expect("j"), two.get("j").expect("j"));
+        prop_assert_eq!(&one.listed, &two.listed);
+        let ids: std::collections::HashSet<&str> =
+            one.listed.iter().map(|listed| listed.item.as_str()).collect();
+        prop_assert_eq!(ids.len(), one.listed.len());
+    }
+}
--- /dev/null
+++ b/tests/instance/leases.rs
@@ -0,0 +1,276 @@
+//! Leases over generated schedules: freezes, restarts, outages, late and lost appends.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use basillead::instance::contact::Contact;
+use basillead::ledger::fold::{Fold, Lease};
+use basillead::ledger::lease::{hold, is_held, may_claim};
+use basillead::ledger::record::{Incarnation, Record, Subject};
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::fold::beat;
+use crate::{at, ms};
+
+const LEASE: Duration = Duration::from_secs(3);
+
+fn lease(node: &str, heard: u64) -> Lease {
+    Lease {
+        fence: 1,
+        incarnation: Incarnation(format!("{node}-1")),
+        node: node.to_owned(),
+        last: 1,
+        heard: at(heard),
+        renewal: Some(1),
+        released: false,
+    }
+}
+
+#[test]
+fn lease_silent_holder() {
+    let held = lease("a", 10_000);
+    let claims = |seen| may_claim(Some(&held), "b", at(seen), at(0), ms(0), LEASE);
+    assert!(!claims(10_000 + 1800), "the holder may still act");
+    assert!(claims(10_000 + 2300));
+}
+
+#[test]
+fn lease_store_was_away() {
+    // Nobody heard anything for eight seconds because nobody could.
+    let held = lease("a", 10_000);
+    assert!(!may_claim(
+        Some(&held),
+        "b",
+        at(18_100),
+        at(18_000),
+        ms(0),
+        LEASE
+    ));
+}
+
+#[test]
+fn lease_own_restart() {
+    // An instance runs one process: what the one before held is free at once.
+    let held = lease("a", 10_000);
+    assert!(may_claim(
+        Some(&held),
+        "a",
+        at(10_400),
+        at(10_300),
+        ms(0),
+        LEASE
+    ));
+    assert!(!may_claim(
+        Some(&held),
+        "b",
+        at(10_400),
+        at(10_300),
+        ms(0),
+        LEASE
+    ));
+}
+
+#[test]
+fn lease_renewal_after_another_claim() {
+    // A renewal that the store took after another claim renews nothing.
+    let mut fold = Fold::default();
+    let claim = |node: &str, succeeds| Record::Claim {
+        subject: Subject::Usage,
+        incarnation: Incarnation(format!("{node}-1")),
+        node: node.to_owned(),
+        succeeds,
+    };
+    fold.apply(claim("a", None), 0, at(0));
+    fold.apply(claim("b", Some(0)), 1, at(3000));
+    let mut late = beat("a", 9, 0);
+    late.leases = BTreeMap::from([(Subject::Usage, 0)]);
+    fold.apply(Record::Beat(late), 2, at(3010));
+    let lease = &fold.leases[&Subject::Usage];
+    assert_eq!((lease.node.as_str(), lease.renewal), ("b", None));
+    // A claim that does not know of a renewal before it loses.
+    let mut renewal = beat("b", 1, 0);
+    renewal.leases = BTreeMap::from([(Subject::Usage, 1)]);
+    fold.apply(Record::Beat(renewal), 3, at(3020));
+    fold.apply(claim("a", Some(1)), 4, at(3030));
+    assert_eq!(fold.leases[&Subject::Usage].node, "b");
+}
+
+#[test]
+fn lease_read_from_a_renewal_only() {
+    // The claim itself may have expired from the log before this reader started.
+    let mut fold = Fold::default();
+    let mut renewal = beat("a", 70, 0);
+    renewal.leases = BTreeMap::from([(Subject::Usage, 12)]);
+    fold.apply(Record::Beat(renewal), 90, at(0));
+    assert_eq!(fold.leases[&Subject::Usage].fence, 12);
+}
+
+/// Length of a schedule in milliseconds of true time, and of one step.
+const LENGTH: u64 = 30_000;
+const TICK: u64 = 20;
+/// Schedules in CI; 100,000 are run by hand with `LEASE_SCHEDULES`.
+const SCHEDULES: u64 = 400;
+const PROCESSES: usize = 3;
+const BEAT: u64 = 400;
+
+struct Process {
+    node: String,
+    start: u32,
+    fold: Fold,
+    contact: Contact,
+    next: usize,
+    frozen: u64,
+    cut: u64,
+    sent: BTreeMap<u64, u64>,
+    due: u64,
+    number: u64,
+    claimed: u64,
+}
+
+impl Process {
+    fn new(node: usize, start: u32) -> Self {
+        Self {
+            node: format!("n{node}"),
+            start,
+            fold: Fold::default(),
+            contact: Contact::default(),
+            next: 0,
+            frozen: 0,
+            cut: 0,
+            sent: BTreeMap::new(),
+            due: 0,
+            number: 0,
+            claimed: 0,
+        }
+    }
+
+    fn incarnation(&self) -> Incarnation {
+        Incarnation(format!("{}-{}", self.node, self.start))
+    }
+
+    fn read(&mut self, log: &[Record], now: u64) {
+        for (offset, record) in log.iter().enumerate().skip(self.next) {
+            self.fold.apply(record.clone(), offset as u64, at(now));
+        }
+        self.next = log.len();
+        self.contact.note(at(now), at(now));
+    }
+
+    fn fence(&self, now: u64) -> Option<u64> {
+        let lease = self.fold.leases.get(&Subject::Usage)?;
+        let renewed = *self.sent.get(&lease.renewal?)?;
+        let held = is_held(lease, &self.incarnation(), at(renewed), at(now), LEASE);
+        held.then_some(lease.fence)
+    }
+
+    fn write(&mut self, now: u64) -> Vec<Record> {
+        let mut records = Vec::new();
+        if now >= self.due {
+            self.due = now + BEAT;
+            self.number += 1;
+            self.sent.insert(self.number, now);
+            let mut sign = beat(&self.node, self.number, now);
+            sign.incarnation = self.incarnation();
+            let own = self.fold.leases.iter();
+            let own = own.filter(|(_, lease)| lease.incarnation == sign.incarnation);
+            sign.leases = own
+                .map(|(subject, lease)| (subject.clone(), lease.fence))
+                .collect();
+            records.push(Record::Beat(sign));
+        }
+        let lease = self.fold.leases.get(&Subject::Usage);
+        let own = lease.is_some_and(|lease| lease.incarnation == self.incarnation());
+        let seen = self.contact.seen.unwrap_or_default();
+        let free = may_claim(lease, &self.node, seen, self.contact.since, ms(0), LEASE);
+        if !own && free && self.contact.seen.is_some() && now >= self.claimed + 500 {
+            self.claimed = now;
+            records.push(Record::Claim {
+                subject: Subject::Usage,
+                incarnation: self.incarnation(),
+                node: self.node.clone(),
+                succeeds: lease.map(|lease| lease.last),
+            });
+        }
+        records
+    }
+}
+
+/// Plays one schedule; gives the fences in the order in which they acted, with the time.
+fn play(seed: u64) -> Vec<(u64, u64, String)> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut processes: Vec<Process> = (0..PROCESSES).map(|n| Process::new(n, 1)).collect();
+    let mut log: Vec<Record> = Vec::new();
+    let mut coming: Vec<(u64, Record)> = Vec::new();
+    let mut down = 0;
+    let mut acts = Vec::new();
+    for now in (0..LENGTH).step_by(usize::try_from(TICK).expect("a small step")) {
+        if rng.random_bool(0.001) {
+            down = now + rng.random_range(500..7000);
+        }
+        coming.sort_by_key(|(due, _)| *due);
+        while coming.first().is_some_and(|(due, _)| *due <= now) && now >= down {
+            log.push(coming.remove(0).1);
+        }
+        for process in &mut processes {
+            if rng.random_bool(0.001) {
+                process.frozen = now + rng.random_range(200..6000);
+            }
+            if rng.random_bool(0.001) {
+                process.cut = now + rng.random_range(200..6000);
+            }
+            if rng.random_bool(0.0005) {
+                let node = process.node[1..].parse().expect("a number");
+                *process = Process::new(node, process.start + 1);
+                process.frozen = now + 300;
+            }
+            if now < process.frozen {
+                continue;
+            }
+            // A thawed process may act before it reads anything.
+            if let Some(fence) = process.fence(now) {
+                acts.push((now, fence, process.node.clone()));
+            }
+            if now < down || now < process.cut {
+                continue;
+            }
+            process.read(&log, now);
+            for record in process.write(now) {
+                // An append may be taken seconds after it was sent.
+                let late = rng.random_bool(0.05);
+                let delay = if late { rng.random_range(0..5000) } else { 10 };
+                coming.push((now + delay, record));
+            }
+        }
+    }
+    acts
+}
+
+#[test]
+fn lease_generated_schedules() {
+    let count = std::env::var("LEASE_SCHEDULES")
+        .ok()
+        .and_then(|count| count.parse().ok());
+    let mut takeovers = 0;
+    for seed in 0..count.unwrap_or(SCHEDULES) {
+        let acts = play(seed);
+        let mut before: Option<&(u64, u64, String)> = None;
+        for act in &acts {
+            if let Some(before) = before {
+                assert!(
+                    act.1 >= before.1,
+                    "seed {seed}: fence {} after {before:?}",
+                    act.1
+                );
+                takeovers += u32::from(act.1 > before.1);
+            }
+            before = Some(act);
+        }
+        assert!(!acts.is_empty(), "seed {seed}: nobody ever held the lease");
+    }
+    assert!(
+        takeovers > 100,
+        "the schedules provoke no takeovers: {takeovers}"
+    );
+    assert!(hold(LEASE) < LEASE);
+}
--- /dev/null
+++ b/tests/instance/load.rs
@@ -0,0 +1,128 @@
+//! Where plain requests go and when they are turned away, and how many servers there should be.
+
+use std::collections::BTreeMap;
+
+use basillead::duty::capacity::{ZoneState, plan, wanted};
+use basillead::duty::usage::may_fix;
+use basillead::relay::choose::{Candidate, Ended, Limits, Next, after, choose};
+
+use crate::{at, ms};
+
+fn candidate(running: usize, near: bool) -> Candidate {
+    Candidate {
+        running,
+        slots: 6,
+        near,
+        suspect: false,
+        tried: false,
+    }
+}
+
+#[test]
+fn choose_near_until_loaded() {
+    assert_eq!(
+        choose(&[candidate(0, false), candidate(0, true)], 0.5),
+        Some(1)
+    );
+    assert_eq!(
+        choose(&[candidate(0, false), candidate(4, true)], 0.5),
+        Some(0)
+    );
+}
+
+#[test]
+fn choose_spreads_ties() {
+    let equal = vec![candidate(0, true); 4];
+    let picks: Vec<Option<usize>> = [0.0, 0.3, 0.6, 0.999]
+        .iter()
+        .map(|draw| choose(&equal, *draw))
+        .collect();
+    assert_eq!(picks, [Some(0), Some(1), Some(2), Some(3)]);
+}
+
+#[test]
+fn choose_avoids_failed_servers() {
+    let failed = Candidate {
+        suspect: true,
+        ..candidate(0, true)
+    };
+    let tried = Candidate {
+        tried: true,
+        ..candidate(0, true)
+    };
+    let servers = [failed.clone(), tried.clone(), candidate(6, false)];
+    assert_eq!(choose(&servers, 0.0), Some(2));
+    assert_eq!(
+        choose(&[failed, tried], 0.0),
+        Some(1),
+        "a request that can be served is"
+    );
+    assert_eq!(choose(&[], 0.0), None);
+}
+
+fn limits(now: u64) -> Limits {
+    Limits {
+        attempts: 2,
+        servers: 4,
+        now: at(now),
+        deadline: at(1000),
+        useful: ms(15),
+    }
+}
+
+/// Replays a request that every full server turns away.
+#[test]
+fn after_all_full() {
+    let mut refusals = 0;
+    while after(Ended::NotRun, true, 0, refusals, limits(10)) == Next::Again {
+        refusals += 1;
+    }
+    assert!(
+        (4..=12).contains(&refusals),
+        "turned away after {refusals} tries"
+    );
+}
+
+#[test]
+fn after_unknown_outcome() {
+    assert_eq!(after(Ended::Unknown, false, 1, 0, limits(10)), Next::Stop);
+    assert_eq!(after(Ended::Unknown, true, 1, 0, limits(10)), Next::Again);
+    assert_eq!(after(Ended::Failed, true, 2, 0, limits(10)), Next::Stop);
+    assert_eq!(after(Ended::NotRun, false, 0, 1, limits(10)), Next::Again);
+    assert_eq!(
+        after(Ended::NotRun, true, 0, 1, limits(990)),
+        Next::Stop,
+        "no use any more"
+    );
+}
+
+#[test]
+fn capacity_for_whole_rounds() {
+    let rounds = BTreeMap::from([("a", 48), ("b", 52)]);
+    assert_eq!(wanted(&rounds, 8), 13);
+    let zone = |name: &str, price: f64, have: usize| ZoneState {
+        zone: name.to_owned(),
+        price,
+        have,
+    };
+    let zones = [zone("x", 1.2, 3), zone("y", 0.85, 2), zone("z", 1.0, 1)];
+    assert_eq!(
+        plan(&zones, 13, 6),
+        [3, 6, 4],
+        "the cheapest zones up to the limit"
+    );
+    assert_eq!(plan(&zones, 2, 6), [3, 2, 1], "no zone loses a server");
+    assert_eq!(plan(&zones, 99, 6), [6, 6, 6]);
+}
+
+#[test]
+fn usage_window_waits_for_all() {
+    let due = ms(10_000);
+    assert!(!may_fix(ms(300), false, due), "requests still end");
+    assert!(may_fix(ms(900), false, due));
+    assert!(
+        !may_fix(ms(3000), true, due),
+        "an instance has not sent its counters"
+    );
+    assert!(may_fix(ms(7100), true, due), "before the report is late");
+}
--- /dev/null
+++ b/tests/instance/main.rs
@@ -0,0 +1,23 @@
+//! Decisions of an instance on a platform, replayed without sockets.
+
+mod admit;
+mod fleet;
+mod fold;
+mod leases;
+mod load;
+mod rounds;
+mod sample;
+mod writer;
+
+use std::time::Duration;
+
+use basillead::boot::Boot;
+
+/// An instant, in milliseconds from the clock's start.
+fn at(ms: u64) -> Boot {
+    Boot::at(Duration::from_millis(ms))
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
--- /dev/null
+++ b/tests/instance/sample.rs
@@ -0,0 +1,109 @@
+//! Texts across broken streams, other servers and other weights.
+
+use basillead::drive::events::{Event, EventReader};
+use basillead::drive::sample::{Fit, Misfit, Sample};
+use proptest::prelude::*;
+
+const FIT: Fit = Fit {
+    min: 2,
+    single: false,
+};
+
+fn event(id: u64) -> Event {
+    Event {
+        id: Some(id),
+        data: format!("d{id}"),
+        other: Vec::new(),
+    }
+}
+
+#[test]
+fn sample_gap_and_repeat() {
+    let mut sample = Sample::default();
+    assert_eq!(sample.add(event(1), 2, FIT), Ok(()));
+    assert_eq!(sample.add(event(3), 2, FIT), Err(Misfit::Gap));
+    assert_eq!(sample.add(event(1), 2, FIT), Err(Misfit::Gap));
+    assert_eq!(
+        sample.add(
+            Event {
+                id: None,
+                ..event(2)
+            },
+            2,
+            FIT
+        ),
+        Err(Misfit::NoId)
+    );
+    assert_eq!(sample.add(event(2), 3, FIT), Ok(()));
+    assert_eq!(
+        (sample.text().as_str(), sample.versions.as_slice()),
+        ("d1\nd2", &[2, 3][..])
+    );
+}
+
+#[test]
+fn sample_versions() {
+    let mut sample = Sample::default();
+    assert_eq!(
+        sample.add(event(1), 1, FIT),
+        Err(Misfit::Version),
+        "weights too old"
+    );
+    assert_eq!(sample.add(event(1), 2, FIT), Ok(()));
+    assert!(
+        !Fit {
+            min: 2,
+            single: true
+        }
+        .allows(&sample, 3),
+        "one version only"
+    );
+    assert!(
+        !Fit {
+            min: 3,
+            single: false
+        }
+        .allows(&sample, 3),
+        "made for an older round"
+    );
+    assert!(FIT.allows(&sample, 3));
+}
+
+#[test]
+fn events_cut_in_the_middle() {
+    let mut reader = EventReader::default();
+    let text = b"basillead-weight-versions: 4\nid: 1\ndata: one\n\nid: 2\nda";
+    let events = reader.push(text);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].other, ["basillead-weight-versions: 4"]);
+    assert!(reader.is_partial(), "half an event is none");
+}
+
+proptest! {
+    /// However the bytes are cut, the same events come out.
+    #[test]
+    fn events_any_cut(cuts in prop::collection::vec(1usize..20, 1..40)) {
+        let text = "id: 1
+data: a
+data: b
+
+id: 2
+data: c
+
+id: 3
+data: d
+
+";
+        let whole = EventReader::default().push(text.as_bytes());
+        let mut reader = EventReader::default();
+        let mut found = Vec::new();
+        let mut rest = text.as_bytes();
+        for cut in cuts {
+            let (head, tail) = rest.split_at(cut.min(rest.len()));
+            found.extend(reader.push(head));
+            rest = tail;
+        }
+        found.extend(reader.push(rest));
+        prop_assert_eq!(found, whole);
+    }
+}
