--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -11,8 +11,8 @@
 use crate::boot::Boot;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
-use crate::job::{ItemEnd, Listed};
-use crate::ledger::record::Record;
+use crate::job::{ItemEnd, Jobs, Listed};
+use crate::ledger::record::{self, Record};
 
 /// Time for which a server that turned an item away gets no other one.
 const FULL_REST: Duration = Duration::from_millis(120);
@@ -65,12 +65,20 @@
 #[derive(Debug, Default)]
 pub(super) struct Drafts(RefCell<HashMap<String, Rc<Draft>>>);
 
+/// Events that an item makes before they are saved.
+///
+/// About half a second of an engine's work: what a takeover has to make again at most.
+const SAVE_EVENTS: usize = 12;
+
 impl Drafts {
-    fn get(&self, item: &str) -> Rc<Draft> {
+    /// The draft of an item; a new one starts from what the log has.
+    fn get(&self, item: &str, jobs: &Jobs) -> Rc<Draft> {
         let mut drafts = self.0.borrow_mut();
-        let draft = Rc::clone(drafts.entry(item.to_owned()).or_default());
+        let new = || Rc::new(Draft::of(item, jobs));
+        let draft = drafts.entry(item.to_owned()).or_insert_with(new);
+        draft.catch_up(item, jobs);
         draft.used.set(Boot::now());
-        draft
+        Rc::clone(draft)
     }
 
     fn remove(&self, item: &str) {
@@ -81,9 +89,59 @@
         let mut drafts = self.0.borrow_mut();
         drafts.retain(|_, draft| now < draft.used.get() + DRAFT_KEPT);
     }
+
+    /// What is to be saved of the items that `is_running` names; all of it if `all`.
+    pub(super) fn unsaved(&self, is_running: impl Fn(&str) -> bool, all: bool) -> Vec<Record> {
+        let drafts = self.0.borrow();
+        let running = drafts.iter().filter(|(item, _)| is_running(item));
+        let least = if all { 1 } else { SAVE_EVENTS };
+        running
+            .filter_map(|(item, draft)| draft.part(item, least))
+            .collect()
+    }
 }
 
 impl Draft {
+    fn of(item: &str, jobs: &Jobs) -> Self {
+        let draft = Self::default();
+        draft.catch_up(item, jobs);
+        draft
+    }
+
+    /// Takes the text that the log has, if it is longer.
+    fn catch_up(&self, item: &str, jobs: &Jobs) {
+        let mut sample = self.sample.borrow_mut();
+        let saved = jobs.saved(item);
+        if let Some(saved) = saved.filter(|saved| saved.data.len() > sample.data.len()) {
+            *sample = Sample {
+                data: saved.data.clone(),
+                last: Some(saved.last),
+                versions: saved.versions.clone(),
+                saved: saved.data.len(),
+            };
+        }
+    }
+
+    /// The part that is not saved yet, if it has `least` events or more.
+    fn part(&self, item: &str, least: usize) -> Option<Record> {
+        let mut sample = self.sample.borrow_mut();
+        let from = sample.saved;
+        let end = sample.last.filter(|_| sample.data.len() >= from + least)?;
+        sample.saved = sample.data.len();
+        Some(Record::Draft(record::Draft {
+            item: item.to_owned(),
+            from,
+            data: sample.data[from..].to_vec(),
+            last: end,
+            versions: sample.versions.clone(),
+        }))
+    }
+
+    fn restart(&self) {
+        self.sample.replace(Sample::default());
+        self.whole.set(false);
+    }
+
     /// Counts a failure of a job's item.
     fn fail(&self, job: &str) -> u32 {
         let mut failures = self.failures.borrow_mut();
@@ -97,11 +155,12 @@
 
 /// Runs a task on a server; lists its result or leaves it to another run.
 pub(super) async fn make(driver: &Driver, task: &Task, backend: &Rc<Backend>, attempts: u32) {
-    let draft = driver.drafts.get(&task.item.id);
+    let draft = driver
+        .drafts
+        .get(&task.item.id, &driver.shared.fold.borrow().jobs);
     let version = driver.weights.version(backend, &task.model);
     if !task.fit.allows(&draft.sample.borrow(), version) {
-        draft.sample.replace(Sample::default());
-        draft.whole.set(false);
+        draft.restart();
     }
     if !draft.whole.get() {
         let end = item::run(&driver.shared, task, backend, &draft.sample, driver).await;
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -11,7 +11,7 @@
 pub mod waves;
 pub mod weights;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +24,7 @@
 use crate::instance::deployment::{Deployment, Route};
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
+use crate::instance::leases;
 use crate::job::Job;
 use crate::ledger::record::Subject;
 use make::Drafts;
@@ -31,6 +32,8 @@
 
 /// Longest time between two looks at what waits.
 const LOOK: Duration = Duration::from_millis(50);
+/// Time between two rounds of saving unfinished texts.
+const SAVE_PACE: Duration = Duration::from_millis(500);
 /// Share of the newest event in a server's pace.
 const PACE_SHARE: f64 = 0.1;
 /// Pace of a server that has made no event lately, in seconds an event.
@@ -68,6 +71,8 @@
     places: RefCell<HashMap<String, Place>>,
     /// The server that read a group's prompt last.
     homes: RefCell<HashMap<Key, String>>,
+    /// When unfinished texts were saved last.
+    saved: Cell<Boot>,
     /// The model that a server is kept for, by the server's id.
     kept: RefCell<BTreeMap<String, String>>,
 }
@@ -83,16 +88,22 @@
             drafts: Drafts::default(),
             places: RefCell::default(),
             homes: RefCell::default(),
+            saved: Cell::default(),
             kept: RefCell::default(),
         })
     }
 
-    /// Drives jobs, for ever.
+    /// Drives jobs until the process leaves.
     pub async fn run(self: Rc<Self>) {
         loop {
             // Whichever comes first.
             let _ = timeout(LOOK, self.shared.changed.notified()).await;
             self.stop_needless();
+            if self.shared.leaving.get().is_some() {
+                self.hand_over();
+                return;
+            }
+            self.save(false);
             let Some(deployment) = self.shared.deployment() else {
                 continue;
             };
@@ -213,7 +224,7 @@
             return true;
         };
         let subject = Subject::Service(service(route, job).to_owned());
-        self.shared.leaving.get().is_some() || self.shared.leads(&subject)
+        self.shared.leads(&subject)
     }
 
     fn is_running(&self, job: &str, item: &str) -> bool {
@@ -287,6 +298,36 @@
 }
 
 impl Driver {
+    /// Saves the texts that items have made, so that another instance can go on with them.
+    fn save(&self, all: bool) {
+        let now = Boot::now();
+        if !all && now < self.saved.get() + SAVE_PACE {
+            return;
+        }
+        self.saved.set(now);
+        let runs = self.runs.borrow();
+        let running: HashSet<&str> = runs.keys().map(|(_, item)| item.as_str()).collect();
+        for record in self.drafts.unsaved(|item| running.contains(item), all) {
+            drop(self.shared.writer.push(&record));
+        }
+    }
+
+    /// Stops all runs, saves their texts, and gives the leases up.
+    fn hand_over(&self) {
+        for run in self
+            .runs
+            .borrow()
+            .values()
+            .filter(|run| run.server.is_some())
+        {
+            if let Some(handle) = &run.handle {
+                handle.abort();
+            }
+        }
+        self.save(true);
+        leases::release(&self.shared);
+    }
+
     /// Stops a run so that its item goes on elsewhere, from the text made so far.
     fn requeue(&self, key: &Key, reason: &str) {
         let run = self.runs.borrow_mut().remove(key);
--- a/src/drive/sample.rs
+++ b/src/drive/sample.rs
@@ -11,6 +11,8 @@
     pub last: Option<u64>,
     /// Weight versions, each once, in the order of their first event.
     pub versions: Vec<u64>,
+    /// Events that the log has.
+    pub saved: usize,
 }
 
 /// Why a sample cannot go on.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -191,7 +191,8 @@
     let now = Boot::now();
     shared.leaving.set(Some(now));
     event!("stop", "active" => shared.active.get());
-    leases::release(shared);
+    // The driver hands its jobs over and gives the leases up.
+    shared.changed.notify_waiters();
     shared.beat.notify_one();
     let last = now + shared.settings.bounds.grace.saturating_sub(END_MARGIN);
     let expected = (now + directory::TTL * KEPT_FOR).min(last);
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -10,6 +10,8 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::ledger::record::Draft;
+
 /// A request whose answer scores a finished sample.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Scorer {
@@ -119,12 +121,25 @@
     }
 }
 
+/// The text of an item as far as the log has it.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Saved {
+    /// Data of each event.
+    pub data: Vec<String>,
+    /// Id of the last event.
+    pub last: u64,
+    /// Weight versions that made it.
+    pub versions: Vec<u64>,
+}
+
 /// All jobs that the log holds.
 #[derive(Debug, Default)]
 pub struct Jobs {
     known: HashMap<String, Job>,
     /// The job that first held an item.
     first: HashMap<String, String>,
+    /// Unfinished texts by item.
+    saved: HashMap<String, Saved>,
     accepted: u64,
 }
 
@@ -158,10 +173,33 @@
             return;
         };
         if job.index.contains_key(&result.item) && job.done.insert(result.item.clone()) {
+            self.saved.remove(&result.item);
             job.listed.push(Rc::new(result));
         }
     }
 
+    /// Saves a part of an item's text; one that does not follow what is saved is passed over.
+    pub fn save(&mut self, draft: Draft) {
+        if !self.first.contains_key(&draft.item) {
+            return;
+        }
+        let saved = self.saved.entry(draft.item).or_default();
+        if draft.from == 0 {
+            saved.data.clear();
+        } else if draft.from != saved.data.len() {
+            return;
+        }
+        saved.data.extend(draft.data);
+        saved.last = draft.last;
+        saved.versions = draft.versions;
+    }
+
+    /// The text of an item as far as it was saved.
+    #[must_use]
+    pub fn saved(&self, item: &str) -> Option<&Saved> {
+        self.saved.get(item)
+    }
+
     /// Ends a job.
     pub fn end(&mut self, job: &str) {
         if let Some(job) = self.known.get_mut(job) {
@@ -204,5 +242,7 @@
         self.known.retain(|_, job| !is_old(job));
         let known = &self.known;
         self.first.retain(|_, job| known.contains_key(job));
+        let first = &self.first;
+        self.saved.retain(|item, _| first.contains_key(item));
     }
 }
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -53,6 +53,21 @@
     pub counts: BTreeMap<u64, Counts>,
 }
 
+/// Events of an item's text, for whoever makes it next.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Draft {
+    /// The item.
+    pub item: String,
+    /// Events that were saved before; 0 starts the text anew.
+    pub from: usize,
+    /// Data of the events since then.
+    pub data: Vec<String>,
+    /// Id of the last event.
+    pub last: u64,
+    /// Weight versions that made the text so far.
+    pub versions: Vec<u64>,
+}
+
 /// A record of the log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Record {
@@ -85,6 +100,8 @@
         /// The result.
         result: Listed,
     },
+    /// Saves what was made of an item's text since it was saved last.
+    Draft(Draft),
     /// Ends a job.
     End {
         /// The job.
--- a/tests/instance/fold.rs
+++ b/tests/instance/fold.rs
@@ -4,7 +4,7 @@
 
 use basillead::job::{Item, ItemEnd, JobRecord, Jobs, Listed};
 use basillead::ledger::fold::Fold;
-use basillead::ledger::record::{Beat, Decoder, Incarnation, Record, encode};
+use basillead::ledger::record::{Beat, Decoder, Draft, Incarnation, Record, encode};
 use bytes::Bytes;
 use proptest::prelude::*;
 
@@ -167,3 +167,29 @@
         prop_assert_eq!(ids.len(), one.listed.len());
     }
 }
+
+#[test]
+fn drafts_follow_each_other() {
+    let draft = |from: usize, data: &[&str], last: u64, versions: &[u64]| Draft {
+        item: "a".to_owned(),
+        from,
+        data: data.iter().map(|&data| data.to_owned()).collect(),
+        last,
+        versions: versions.to_vec(),
+    };
+    let mut jobs = Jobs::default();
+    jobs.save(draft(0, &["lost"], 1, &[1]));
+    assert!(jobs.saved("a").is_none(), "no job has the item");
+    jobs.accept(job("j", 1, vec![item("a", "g", 0)]));
+    jobs.save(draft(0, &["one", "two"], 2, &[1]));
+    jobs.save(draft(2, &["three"], 3, &[1, 2]));
+    // A former holder's part that does not follow.
+    jobs.save(draft(2, &["other"], 3, &[1]));
+    let saved = jobs.saved("a").expect("a saved text");
+    assert_eq!(saved.data, ["one", "two", "three"]);
+    assert_eq!((saved.last, saved.versions.as_slice()), (3, &[1, 2][..]));
+    jobs.save(draft(0, &["anew"], 1, &[3]));
+    assert_eq!(jobs.saved("a").expect("a saved text").versions, [3]);
+    jobs.list("j", listed("a", "text"));
+    assert!(jobs.saved("a").is_none());
+}
