--- a/src/front/handle.rs
+++ b/src/front/handle.rs
@@ -14,7 +14,7 @@
 use super::{forward, jobs};
 use crate::boot::Boot;
 use crate::instance::Shared;
-use crate::instance::deployment::RouteKind;
+use crate::instance::deployment::Handling;
 use crate::instance::edge::{Intake, Intent};
 use crate::instance::events::event;
 
@@ -131,9 +131,9 @@
     };
     let name = admitted.route.name.clone();
     let response = match admitted.route.kind {
-        RouteKind::Rollout => jobs::submit(shared, &call, &admitted).await,
-        RouteKind::Idempotent | RouteKind::Once => forward::plain(shared, &call, &admitted).await,
-        RouteKind::Stream { .. } => forward::stream(shared, &call, &admitted).await,
+        Handling::Rollout => jobs::submit(shared, &call, &admitted).await,
+        Handling::Idempotent | Handling::Once => forward::plain(shared, &call, &admitted).await,
+        Handling::Stream { .. } => forward::stream(shared, &call, &admitted).await,
     };
     (name, response)
 }
--- a/src/instance/deployment.rs
+++ b/src/instance/deployment.rs
@@ -6,7 +6,7 @@
 
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RouteKind {
+pub enum Handling {
     /// May run more than once.
     Idempotent,
     /// May run at most once for each attempt of the caller.
@@ -30,7 +30,7 @@
     /// Path prefix, with a slash at both ends.
     pub prefix: String,
     /// What may be repeated.
-    pub kind: RouteKind,
+    pub kind: Handling,
     /// Longest time for which a request is kept waiting.
     pub timeout: Duration,
     /// Time within which an answer is worth its full credit.
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -14,7 +14,7 @@
 use super::choose::{Ended, Limits, Next, after, hedge_at};
 use crate::boot::Boot;
 use crate::instance::Shared;
-use crate::instance::deployment::{Route, RouteKind};
+use crate::instance::deployment::{Handling, Route};
 use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
 
@@ -74,7 +74,7 @@
 
 /// Sends a request, to several servers if need be, and gives the best answer.
 pub async fn run(shared: &Shared, job: &Job<'_>) -> Done {
-    let repeatable = job.route.kind == RouteKind::Idempotent;
+    let repeatable = job.route.kind == Handling::Idempotent;
     let service = job.route.target(rand::random());
     let mut tally = Tally {
         runs: 0,
@@ -220,7 +220,7 @@
         };
         // A kept connection may have been closed by the server just before.
         let stale = matches!(&result, Err(CallError::Broken { .. }));
-        if stale && !second && job.route.kind == RouteKind::Idempotent {
+        if stale && !second && job.route.kind == Handling::Idempotent {
             second = true;
             continue;
         }
--- a/tests/instance/admit.rs
+++ b/tests/instance/admit.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use basillead::front::admit::{Denied, Knowledge, admit};
-use basillead::instance::deployment::{Deployment, Limits, Route, RouteKind};
+use basillead::instance::deployment::{Deployment, Handling, Limits, Route};
 
 fn deployment() -> Deployment {
     let route = |name: &str, prefix: &str, public: bool| {
@@ -13,7 +13,7 @@
             name: name.to_owned(),
             host: "desk.example".to_owned(),
             prefix: prefix.to_owned(),
-            kind: RouteKind::Idempotent,
+            kind: Handling::Idempotent,
             timeout: Duration::from_secs(2),
             objective: Duration::from_millis(150),
             attempts: 2,
