--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod burn;
 mod check;
 pub mod daemon;
+mod explain;
 mod key;
 mod publish;
 mod remote;
@@ -53,6 +54,8 @@
     Usage(usage::Args),
     #[options(help = "show how fast error budgets are used up")]
     Burn(burn::Args),
+    #[options(help = "show what logs of instances say of a request")]
+    Explain(explain::Args),
     #[options(help = "recompute usage reports from the log alone")]
     Replay(replay::Args),
 }
@@ -75,6 +78,7 @@
         Command::Status(args) => status::run(&args),
         Command::Usage(args) => usage::run(&args),
         Command::Burn(args) => burn::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Replay(args) => replay::run(&args),
     };
     done.unwrap_or_else(|error| fail(&*error))
--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -14,7 +14,7 @@
 use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
 use crate::job::{Item, ItemEnd, Scorer};
-use crate::relay::call::{self, CallError, Outgoing};
+use crate::relay::call::{self, Outgoing};
 use crate::relay::repeat::{self, Done};
 
 /// Time without an event after which a run is given up.
@@ -107,9 +107,10 @@
         Ok(Err(error)) => {
             event!("item_call_failed", "item" => task.item.id, "server" => backend.id,
                 "error" => error);
-            return match error {
-                CallError::Unsent { .. } | CallError::Malformed { .. } => RunEnd::NotRun,
-                _ => RunEnd::Broken,
+            return if error.is_unsent() {
+                RunEnd::NotRun
+            } else {
+                RunEnd::Broken
             };
         }
         Err(_) => {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -40,6 +40,25 @@
     Late,
 }
 
+impl CallError {
+    /// Whether it is certain that nothing was sent.
+    #[must_use]
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Unsent { .. } | Self::Malformed { .. })
+    }
+
+    /// Whether only this instance's share of connections was used up.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        matches!(
+            self,
+            Self::Unsent {
+                source: PoolError::Exhausted
+            }
+        )
+    }
+}
+
 /// What to send.
 #[derive(Clone, Debug)]
 pub struct Outgoing<'a> {
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -258,19 +258,16 @@
         Ok(answer) => (None, Some(answer)),
         Err(error) => {
             event!("call_failed", "id" => job.id, "server" => backend.id, "error" => error);
-            shared.load.suspect(&backend.id, now + SUSPECT);
-            let unsent = matches!(
-                error,
-                CallError::Unsent { .. } | CallError::Malformed { .. }
-            );
-            (
-                Some(if unsent {
-                    Ended::NotRun
-                } else {
-                    Ended::Unknown
-                }),
-                None,
-            )
+            // A server whose connections are all in use is not at fault.
+            if !error.is_busy() {
+                shared.load.suspect(&backend.id, now + SUSPECT);
+            }
+            let ended = if error.is_unsent() {
+                Ended::NotRun
+            } else {
+                Ended::Unknown
+            };
+            (Some(ended), None)
         }
     }
 }
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod config_log;
 mod cost;
 mod drain;
+mod explain;
 mod leak;
 mod lease;
 mod load;
