--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::boot::Boot;
 use crate::instance::Shared;
@@ -34,6 +34,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Time between two rounds of saving unfinished texts.
 const SAVE_PACE: Duration = Duration::from_millis(500);
+/// Time for which changes gather before they are looked at.
+const GATHER: Duration = Duration::from_millis(10);
 /// Share of the newest event in a server's pace.
 const PACE_SHARE: f64 = 0.1;
 /// Pace of a server that has made no event lately, in seconds an event.
@@ -98,6 +100,8 @@
         loop {
             // Whichever comes first.
             let _ = timeout(LOOK, self.shared.changed.notified()).await;
+            // What else changes at the same time is looked at once.
+            sleep(GATHER).await;
             self.stop_needless();
             if self.shared.leaving.get().is_some() {
                 self.hand_over();
@@ -227,12 +231,6 @@
         self.shared.leads(&subject)
     }
 
-    fn is_running(&self, job: &str, item: &str) -> bool {
-        self.runs
-            .borrow()
-            .contains_key(&(job.to_owned(), item.to_owned()))
-    }
-
     fn rests(&self, server: &str, now: Boot) -> bool {
         self.places
             .borrow()
@@ -286,7 +284,12 @@
 impl item::Watch for Driver {
     fn paced(&self, server: &str, span: Duration) {
         let mut places = self.places.borrow_mut();
-        let place = places.entry(server.to_owned()).or_default();
+        if !places.contains_key(server) {
+            places.insert(server.to_owned(), Place::default());
+        }
+        let Some(place) = places.get_mut(server) else {
+            return;
+        };
         let span = span.as_secs_f64();
         let before = place.pace.map_or(span, |(pace, _)| pace);
         place.pace = Some((before + (span - before) * PACE_SHARE, Boot::now()));
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -1,5 +1,6 @@
 //! Starts the items that are due on the servers that have room.
 
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use super::item::Task;
@@ -11,7 +12,7 @@
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
 use crate::job::Job;
-use crate::job::order::queue;
+use crate::job::order::{Waiting, queue};
 use crate::job::place::{Seat, place};
 use crate::util::{millis, unix_ms};
 
@@ -31,14 +32,15 @@
     }
     let fold = driver.shared.fold.borrow();
     let own = |job: &Job| route(deployment, job).is_some_and(|route| service(route, job) == name);
-    let waiting = queue(&fold.jobs, own, |job, item| driver.is_running(job, item));
+    let waiting = waiting(driver, &fold.jobs, own);
     if waiting.is_empty() {
         return left;
     }
     let now = Boot::now();
     let wall = unix_ms();
     let fleet = driver.shared.fleet.borrow();
-    let mut room = room(driver, fleet.usable(name, now), now);
+    let mut known = HashMap::new();
+    let room = room(driver, fleet.usable(name, now), now);
     for waiting in waiting {
         let job = waiting.job;
         let item = &job.record.items[waiting.at];
@@ -65,11 +67,10 @@
             });
             continue;
         }
-        let Some(at) = seat(driver, &room, job, waiting.at) else {
+        let Some(at) = seat(driver, &room, &mut known, job, waiting.at) else {
             left.insert(job.record.model.clone());
             continue;
         };
-        room.free[at] -= 1;
         let backend = Rc::clone(room.servers[at]);
         event!("item_start", "job" => job.record.id, "item" => item.id, "server" => backend.id,
             "spare" => waiting.spare);
@@ -88,6 +89,20 @@
     left
 }
 
+/// Items that neither run nor have a result, in the order in which they are due.
+fn waiting<'a>(
+    driver: &Driver,
+    jobs: &'a crate::job::Jobs,
+    is_own: impl Fn(&Job) -> bool,
+) -> Vec<Waiting<'a>> {
+    let runs = driver.runs.borrow();
+    let running: HashSet<(&str, &str)> = runs
+        .keys()
+        .map(|(job, item)| (job.as_str(), item.as_str()))
+        .collect();
+    queue(jobs, is_own, |job, item| running.contains(&(job, item)))
+}
+
 fn key(job: &Job, part: &str) -> Key {
     (job.record.id.clone(), part.to_owned())
 }
@@ -113,23 +128,40 @@
     }
 }
 
-fn seat(driver: &Driver, room: &Room<'_>, job: &Job, at: usize) -> Option<usize> {
+/// Seats of a model, in the order of the servers.
+fn seats<'a>(driver: &Driver, room: &Room<'a>, model: &str) -> Vec<Seat<'a>> {
+    let seat = |at: usize| Seat {
+        id: &room.servers[at].id,
+        free: room.free[at],
+        slots: room.servers[at].slots,
+        version: driver.weights.version(room.servers[at], model),
+        pace: room.paces[at],
+        foreign: room.models[at] != *model,
+    };
+    (0..room.servers.len()).map(seat).collect()
+}
+
+/// The seat of an item; seats are made once for each model and then kept up to date.
+fn seat<'a>(
+    driver: &Driver,
+    room: &Room<'a>,
+    known: &mut HashMap<String, Vec<Seat<'a>>>,
+    job: &Job,
+    at: usize,
+) -> Option<usize> {
     let model = &job.record.model;
-    let seats: Vec<Seat<'_>> = (0..room.servers.len())
-        .map(|at| Seat {
-            id: &room.servers[at].id,
-            free: room.free[at],
-            slots: room.servers[at].slots,
-            version: driver.weights.version(room.servers[at], model),
-            pace: room.paces[at],
-            foreign: room.models[at] != *model,
-        })
-        .collect();
+    if !known.contains_key(model) {
+        known.insert(model.clone(), seats(driver, room, model));
+    }
     let homes = driver.homes.borrow();
     let home = homes
         .get(&key(job, &job.record.items[at].group))
         .map(String::as_str);
-    place(&seats, home, job.record.min_version)
+    let at = place(known.get(model)?, home, job.record.min_version)?;
+    for seats in known.values_mut() {
+        seats[at].free -= 1;
+    }
+    Some(at)
 }
 
 /// Text that an earlier job's run of the same item left, if it fits.
--- a/src/instance/beat.rs
+++ b/src/instance/beat.rs
@@ -69,6 +69,7 @@
         front: shared.settings.front,
         zone: shared.settings.zone.clone(),
         ready: shared.is_ready(Boot::now()),
+        capacity: shared.settings.capacity,
         wall,
         leases,
         counts: usage.clone(),
--- a/src/instance/leases.rs
+++ b/src/instance/leases.rs
@@ -1,5 +1,6 @@
 //! Claims the leases that nobody holds, and gives them up on the way out.
 
+use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -103,12 +104,14 @@
     }
 }
 
-/// Keeps claimants apart: the instance that ranks first for a subject claims first.
+/// Keeps claimants apart: the instance with the largest share of a core claims first, and
+/// among equals the one that ranks first for the subject.
 fn stagger(shared: &Shared, subject: &Subject, seen: Boot, since: Boot) -> Duration {
     let fold = shared.fold.borrow();
-    let own = rank(subject, &shared.settings.name);
+    let place = |capacity: u32, name: &str| (Reverse(capacity), rank(subject, name));
+    let own = place(shared.settings.capacity, &shared.settings.name);
     let alive = fold.alive(seen, since, SILENCE);
-    let before = alive.filter(|(name, member)| member.ready && rank(subject, name) < own);
+    let before = alive.filter(|(name, member)| member.ready && place(member.capacity, name) < own);
     let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
     STAGGER.saturating_mul(before).min(STAGGER_MAX)
 }
--- a/src/instance/settings.rs
+++ b/src/instance/settings.rs
@@ -25,6 +25,8 @@
     pub bounds: Bounds,
     /// Duties of one instance at a time.
     pub duties: Duties,
+    /// Share of a core that the process gets, in thousandths.
+    pub capacity: u32,
     /// Bytes of one record of the store.
     pub record_bytes: usize,
     /// Bytes of one call to the store.
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -25,6 +25,8 @@
     pub heard: Boot,
     /// Unix time in milliseconds at which that was written.
     pub wall: u64,
+    /// Share of a core that the process gets, in thousandths.
+    pub capacity: u32,
 }
 
 /// A lease as the log has it.
@@ -147,6 +149,7 @@
             ready: beat.ready,
             heard: received,
             wall: beat.wall,
+            capacity: beat.capacity,
         };
         self.members.insert(beat.node, member);
     }
--- a/src/ledger/lease.rs
+++ b/src/ledger/lease.rs
@@ -11,6 +11,10 @@
 /// What a successor waits beyond the holder's deadline, for clocks that drift and writes under way.
 const MARGIN: Duration = Duration::from_millis(400);
 
+/// Time after which a lease that nobody ever held is claimed: all instances that start
+/// together have shown themselves by then.
+const FIRST: Duration = Duration::from_millis(1500);
+
 /// Time from the sending of a renewal to the holder's deadline.
 #[must_use]
 pub fn hold(lease: Duration) -> Duration {
@@ -40,7 +44,7 @@
     span: Duration,
 ) -> bool {
     match lease {
-        None => since + stagger <= seen,
+        None => since + FIRST + stagger <= seen,
         Some(lease) if lease.released || lease.node == node => true,
         Some(lease) => lease.heard.max(since) + hold(span) + MARGIN + stagger < seen,
     }
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -45,6 +45,8 @@
     pub zone: String,
     /// Whether callers may be sent there.
     pub ready: bool,
+    /// Share of a core that the process gets, in thousandths.
+    pub capacity: u32,
     /// Unix time in milliseconds at which it was written.
     pub wall: u64,
     /// Leases held, with their fencing numbers.
--- a/tests/instance/fold.rs
+++ b/tests/instance/fold.rs
@@ -54,6 +54,7 @@
         front: None,
         zone: "z".to_owned(),
         ready: true,
+        capacity: 500,
         wall,
         leases: BTreeMap::new(),
         counts: BTreeMap::new(),
