--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -9,9 +9,10 @@
 use super::item::{self, RunEnd, Task};
 use super::sample::Sample;
 use crate::boot::Boot;
+use crate::instance::Shared;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
-use crate::job::{ItemEnd, Jobs, Listed};
+use crate::job::{ItemEnd, Jobs, Listed, Text};
 use crate::ledger::record::{self, Record};
 
 /// Time for which a server that turned an item away gets no other one.
@@ -23,7 +24,7 @@
 
 /// The text of an item and the weight versions that made it.
 #[derive(Clone, Debug)]
-pub(super) struct Text {
+pub(super) struct ItemText {
     pub(super) output: String,
     pub(super) versions: Vec<u64>,
 }
@@ -32,14 +33,14 @@
 #[derive(Clone, Debug)]
 pub(super) struct Ended {
     end: ItemEnd,
-    text: Text,
+    text: ItemText,
     score: Option<String>,
 }
 
 impl Ended {
     /// An item that was given up.
     pub(super) fn dead() -> Self {
-        let text = Text {
+        let text = ItemText {
             output: String::new(),
             versions: Vec::new(),
         };
@@ -183,7 +184,7 @@
     }
     let text = {
         let sample = draft.sample.borrow();
-        Text {
+        ItemText {
             output: sample.text(),
             versions: sample.versions.clone(),
         }
@@ -226,7 +227,7 @@
 
 impl Driver {
     /// Has a whole text scored, and lists it.
-    pub(super) async fn finish(&self, task: &Task, text: Text) {
+    pub(super) async fn finish(&self, task: &Task, text: ItemText) {
         let (end, score) = match &task.item.scorer {
             Some(scorer) => item::score(&self.shared, task, scorer).await,
             None => (ItemEnd::Complete, None),
@@ -243,13 +244,25 @@
         event!("item_listed", "job" => job, "item" => item, "end" => format!("{:?}", ended.end),
             "versions" => format!("{:?}", ended.text.versions));
         self.drafts.remove(item);
-        let result = Listed {
+        let apart = ended.end == ItemEnd::Complete && self.shared.texts_apart();
+        let ItemText { output, versions } = ended.text;
+        let mut result = Listed {
             item: item.to_owned(),
             end: ended.end,
-            output: ended.text.output,
-            versions: ended.text.versions,
+            text: Text::Here(output),
+            versions,
             score: ended.score,
         };
+        if apart {
+            let shared = Rc::clone(&self.shared);
+            let job = job.to_owned();
+            tokio::task::spawn_local(async move {
+                put_apart(&shared, &mut result).await;
+                let record = Record::Listed { job, result };
+                drop(shared.writer.push(&record));
+            });
+            return;
+        }
         let record = Record::Listed {
             job: job.to_owned(),
             result,
@@ -257,3 +270,19 @@
         drop(self.shared.writer.push(&record));
     }
 }
+
+/// Writes a result's text to the log of texts.
+async fn put_apart(shared: &Shared, result: &mut Listed) {
+    let Text::Here(text) = &mut result.text else {
+        return;
+    };
+    let bytes = text.len();
+    let record = Record::Text(std::mem::take(text));
+    // An error means that the process ends.
+    if let Ok(ack) = shared.text_writer.push(&record).await {
+        result.text = Text::Apart {
+            offset: ack.offset,
+            bytes,
+        };
+    }
+}
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -302,9 +302,11 @@
 
 impl Driver {
     /// Saves the texts that items have made, so that another instance can go on with them.
+    ///
+    /// Where texts are apart, a successor makes them again.
     fn save(&self, all: bool) {
         let now = Boot::now();
-        if !all && now < self.saved.get() + SAVE_PACE {
+        if self.shared.texts_apart() || (!all && now < self.saved.get() + SAVE_PACE) {
             return;
         }
         self.saved.set(now);
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -11,9 +11,9 @@
 use crate::instance::deployment::Deployment;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
-use crate::job::Job;
 use crate::job::order::{Waiting, queue};
 use crate::job::place::{Seat, place};
+use crate::job::{Job, Text};
 use crate::util::{millis, unix_ms};
 
 /// Servers with room, as the placing of items changes them.
@@ -165,16 +165,19 @@
 }
 
 /// Text that an earlier job's run of the same item left, if it fits.
-fn earlier(jobs: &crate::job::Jobs, job: &Job, item: &str, fit: Fit) -> Option<make::Text> {
+fn earlier(jobs: &crate::job::Jobs, job: &Job, item: &str, fit: Fit) -> Option<make::ItemText> {
     let listed = jobs
         .is_again(job, item)
         .then(|| jobs.earlier(&job.record.id, item))??;
     let young = listed.versions.iter().all(|version| *version >= fit.min);
     let fits = young && (!fit.single || listed.versions.len() == 1);
-    fits.then(|| make::Text {
-        output: listed.output.clone(),
-        versions: listed.versions.clone(),
-    })
+    match &listed.text {
+        Text::Here(text) if fits => Some(make::ItemText {
+            output: text.clone(),
+            versions: listed.versions.clone(),
+        }),
+        _ => None,
+    }
 }
 
 fn task(job: &Job, at: usize, fit: Fit) -> Task {
--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -3,17 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Response, StatusCode};
 use tokio::time::timeout;
 
 use super::admit::Admitted;
 use super::handle::Call;
 use super::reply::{Body, come_back, json, status, whole};
+use super::texts;
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::events::event;
-use crate::job::{Job, JobRecord};
+use crate::job::{Job, JobRecord, Listed};
 use crate::ledger::record::Record;
 use crate::ledger::writer::Outcome;
 use crate::util::unix_ms;
@@ -157,32 +157,33 @@
         let changed = shared.changed.notified();
         let page = with_job(shared, job, tenant, |job| {
             let waits = job.listed.len() <= after && !job.is_finished();
-            (page(shared, job, after), waits)
+            (page(job, after), job.record.items.len(), waits)
         });
-        let Some((page, waits)) = page.own() else {
+        let Some((page, total, waits)) = page.own() else {
             return come_back(super::admit::ELSEWHERE);
         };
         let left = deadline.left(Boot::now());
         if !waits || left.is_zero() {
-            return json(page);
+            return match texts::resolve(shared, page).await {
+                Some(page) => json(shared.dialect.results(total, after, &page)),
+                None => come_back(super::admit::ELSEWHERE),
+            };
         }
         // Time and results are looked at again either way.
         let _ = timeout(left, changed).await;
     }
 }
 
-fn page(shared: &Shared, job: &Job, after: usize) -> Bytes {
+/// Results from a position on, as many as a page holds.
+fn page(job: &Job, after: usize) -> Vec<Rc<Listed>> {
     let listed = job.listed.get(after..).unwrap_or_default();
     let mut bytes = 0;
-    let fits = |result: &&Rc<crate::job::Listed>| {
+    let fits = |result: &&Rc<Listed>| {
         let first = bytes == 0;
-        bytes += result.output.len() * 2 + 200;
+        bytes += result.text.bytes() * 2 + 200;
         first || bytes < PAGE_BYTES
     };
-    let count = listed.iter().take_while(fits).count();
-    shared
-        .dialect
-        .results(job.record.items.len(), after, &listed[..count])
+    listed.iter().take_while(fits).map(Rc::clone).collect()
 }
 
 /// The body of an item.
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -49,9 +49,20 @@
     },
 }
 
+/// A log of the instances' own in the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Log {
+    /// What every instance follows.
+    Ledger,
+    /// Texts of samples, read by whoever is asked for them.
+    Texts,
+}
+
 /// Records to append together, repeatable by the writer's sequence number.
 #[derive(Clone, Debug)]
 pub struct Batch {
+    /// Where they go.
+    pub log: Log,
     /// The writer: one incarnation of an instance.
     pub writer: String,
     /// Number of this batch, one higher than that of the batch before.
@@ -130,7 +141,7 @@
 
 /// The platform's store: a shared log and two keyed tables.
 pub trait Store: fmt::Debug {
-    /// Appends a batch to the instances' log and returns the offset of its first record.
+    /// Appends a batch to a log and returns the offset of its first record.
     fn append<'a>(&'a self, batch: &'a Batch) -> LocalBoxFuture<'a, Result<u64, StoreError>>;
 
     /// Reads the instances' log, waiting up to `wait` for the first record.
@@ -140,6 +151,9 @@
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>>;
 
+    /// Reads the log of texts from an offset on, without waiting.
+    fn texts(&self, from: u64) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>>;
+
     /// Reads what operators wrote; without `from`, the present state.
     fn operator(
         &self,
@@ -322,6 +336,15 @@
     pub server: &'a str,
 }
 
+/// A result and its text.
+#[derive(Clone, Debug)]
+pub struct Shown {
+    /// The result.
+    pub listed: Rc<crate::job::Listed>,
+    /// Its text.
+    pub text: Rc<str>,
+}
+
 /// Translates between HTTP messages and the types above; it decides nothing.
 pub trait Dialect: fmt::Debug {
     /// Decodes the head of a caller's request.
@@ -339,8 +362,8 @@
     /// What is wrong with the body.
     fn submission(&self, body: &[u8]) -> Result<Submission, String>;
 
-    /// Encodes a page of results.
-    fn results(&self, total: usize, from: usize, results: &[Rc<crate::job::Listed>]) -> Bytes;
+    /// Encodes a page of results with their texts.
+    fn results(&self, total: usize, from: usize, results: &[Shown]) -> Bytes;
 
     /// Encodes an address answer.
     fn addresses(&self, addresses: &[SocketAddr], ttl: Duration) -> Bytes;
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::edge::{Cloud, Dialect, Store};
+use super::edge::{Cloud, Dialect, Log, Store};
 use super::events::{self, event};
 use super::metrics::Metrics;
 use super::settings::InstanceSettings;
@@ -95,8 +95,14 @@
     spawn_local(follow::operator(Rc::clone(&shared)));
     spawn_local(follow::servers(Rc::clone(&shared)));
     spawn_local(follow::ledger(Rc::clone(&shared)));
-    let writer = shared.writer.clone();
     let call_bytes = shared.settings.call_bytes;
+    let texts = shared.text_writer.clone();
+    spawn_local(texts.run(
+        Rc::clone(&shared.store),
+        shared.incarnation.clone(),
+        call_bytes,
+    ));
+    let writer = shared.writer.clone();
     spawn_local(writer.run(
         Rc::clone(&shared.store),
         shared.incarnation.clone(),
@@ -123,7 +129,9 @@
 
 fn shared(settings: InstanceSettings, platform: Platform) -> Result<Rc<Shared>, StartError> {
     Ok(Rc::new(Shared {
-        writer: Writer::new(settings.record_bytes),
+        writer: Writer::new(Log::Ledger, settings.record_bytes),
+        text_writer: Writer::new(Log::Texts, settings.record_bytes),
+        texts: RefCell::default(),
         settings,
         incarnation: Incarnation(random_id()),
         store: platform.store,
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -76,6 +76,31 @@
     Dead,
 }
 
+/// Where the text of a result is.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Text {
+    /// Here.
+    Here(String),
+    /// In the log of texts.
+    Apart {
+        /// Offset of its first record.
+        offset: u64,
+        /// Length in bytes.
+        bytes: usize,
+    },
+}
+
+impl Text {
+    /// Length in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Here(text) => text.len(),
+            Self::Apart { bytes, .. } => *bytes,
+        }
+    }
+}
+
 /// The result of an item.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Listed {
@@ -84,7 +109,7 @@
     /// How it ended.
     pub end: ItemEnd,
     /// The data of its events, one a line.
-    pub output: String,
+    pub text: Text,
     /// Weight versions that made it.
     pub versions: Vec<u64>,
     /// Signature of the scorer's answer.
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -102,6 +102,8 @@
         /// The result.
         result: Listed,
     },
+    /// The text of a result; it stands in the log of texts.
+    Text(String),
     /// Saves what was made of an item's text since it was saved last.
     Draft(Draft),
     /// Ends a job.
--- a/src/ledger/writer.rs
+++ b/src/ledger/writer.rs
@@ -11,7 +11,7 @@
 
 use super::record::{Incarnation, Record, encode};
 use crate::boot::Boot;
-use crate::instance::edge::{Batch, Store, StoreError};
+use crate::instance::edge::{Batch, Log, Store, StoreError};
 use crate::instance::events::event;
 
 /// Time after which an unanswered append is sent again, under the same sequence number.
@@ -19,13 +19,22 @@
 /// Pause after an append that the store refused.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 
-/// When a record's batch was first sent, once the store has acknowledged it.
-pub type Written = oneshot::Receiver<Boot>;
+/// A record that the store has acknowledged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Ack {
+    /// When its batch was first sent.
+    pub sent: Boot,
+    /// Offset of its first piece.
+    pub offset: u64,
+}
+
+/// The acknowledgement of a record, once there is one.
+pub type Written = oneshot::Receiver<Ack>;
 
 struct Queued {
     number: u64,
     pieces: Vec<Bytes>,
-    done: oneshot::Sender<Boot>,
+    done: oneshot::Sender<Ack>,
 }
 
 #[derive(Default)]
@@ -42,6 +51,7 @@
 pub struct Writer {
     queue: Rc<RefCell<Queue>>,
     wake: Rc<Notify>,
+    log: Log,
     record_bytes: usize,
 }
 
@@ -63,12 +73,13 @@
 }
 
 impl Writer {
-    /// A writer with an empty queue.
+    /// A writer to a log, with an empty queue.
     #[must_use]
-    pub fn new(record_bytes: usize) -> Self {
+    pub fn new(log: Log, record_bytes: usize) -> Self {
         Self {
             queue: Rc::default(),
             wake: Rc::default(),
+            log,
             record_bytes,
         }
     }
@@ -100,8 +111,8 @@
     pub async fn write(&self, record: &Record, deadline: Boot) -> Outcome {
         let (number, mut written) = self.enqueue(record);
         let left = deadline.left(Boot::now());
-        if let Ok(Ok(sent)) = timeout(left, &mut written).await {
-            return Outcome::Written(sent);
+        if let Ok(Ok(ack)) = timeout(left, &mut written).await {
+            return Outcome::Written(ack.sent);
         }
         let mut queue = self.queue.borrow_mut();
         let before = queue.waiting.len();
@@ -156,6 +167,7 @@
                 continue;
             }
             let mut batch = Batch {
+                log: self.log,
                 writer: incarnation.0.clone(),
                 sequence,
                 records: taken
@@ -163,29 +175,32 @@
                     .flat_map(|queued| queued.pieces.clone())
                     .collect(),
             };
-            let sent = append(&*store, &mut batch).await;
+            let mut ack = append(&*store, &mut batch).await;
             sequence = batch.sequence + 1;
             self.queue.borrow_mut().stuck = None;
             for queued in taken {
                 // Whoever gave up waiting does not need the answer.
-                let _ = queued.done.send(sent);
+                let _ = queued.done.send(ack);
+                ack.offset += queued.pieces.len() as u64;
             }
         }
     }
 }
 
-/// Appends a batch, however often that takes; gives the instant of the first sending.
-async fn append(store: &dyn Store, batch: &mut Batch) -> Boot {
+/// Appends a batch, however often that takes.
+async fn append(store: &dyn Store, batch: &mut Batch) -> Ack {
     let first = Boot::now();
     loop {
         let result = timeout(ANSWER, store.append(batch)).await;
         match result {
-            Ok(Ok(_)) => return first,
+            Ok(Ok(offset)) => {
+                return Ack {
+                    sent: first,
+                    offset,
+                };
+            }
             Ok(Err(StoreError::Sequence { expected })) => {
                 event!("append_sequence", "sequence" => batch.sequence, "expected" => expected);
-                if expected == batch.sequence + 1 {
-                    return first;
-                }
                 batch.sequence = expected;
             }
             Ok(Err(error)) => {
--- a/tests/instance/fold.rs
+++ b/tests/instance/fold.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use basillead::job::{Item, ItemEnd, JobRecord, Jobs, Listed};
+use basillead::job::{Item, ItemEnd, JobRecord, Jobs, Listed, Text};
 use basillead::ledger::fold::Fold;
 use basillead::ledger::record::{Beat, Decoder, Draft, Incarnation, Record, encode};
 use bytes::Bytes;
@@ -40,7 +40,7 @@
     Listed {
         item: item.to_owned(),
         end: ItemEnd::Complete,
-        output: output.to_owned(),
+        text: Text::Here(output.to_owned()),
         versions: vec![1],
         score: None,
     }
@@ -70,7 +70,7 @@
     jobs.list("j", listed("other", "three"));
     let known = jobs.get("j").expect("the job");
     assert_eq!(known.listed.len(), 1);
-    assert_eq!(known.listed[0].output, "one");
+    assert_eq!(known.listed[0].text, Text::Here("one".to_owned()));
     // A repeated submission changes nothing that is listed.
     jobs.accept(job("j", 1, vec![item("c", "g", 0)]));
     assert_eq!(jobs.get("j").expect("the job").record.items.len(), 2);
--- a/tests/instance/writer.rs
+++ b/tests/instance/writer.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use basillead::boot::Boot;
-use basillead::instance::edge::{Batch, OperatorNews, Page, ServerNews, Store, StoreError};
+use basillead::instance::edge::{Batch, Log, OperatorNews, Page, ServerNews, Store, StoreError};
 use basillead::ledger::record::{Decoder, Incarnation, Record};
 use basillead::ledger::writer::{Outcome, Writer};
 use bytes::Bytes;
@@ -57,6 +57,10 @@
         unimplemented!("the writer does not read")
     }
 
+    fn texts(&self, _: u64) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>> {
+        unimplemented!("the writer does not read")
+    }
+
     fn operator(
         &self,
         _: Option<u64>,
@@ -105,7 +109,7 @@
         .build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let store = Rc::new(FakeStore::default());
-        let writer = Writer::new(1000);
+        let writer = Writer::new(Log::Ledger, 1000);
         let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
         let incarnation = Incarnation("w".to_owned());
         tokio::task::spawn_local(writer.clone().run(shared, incarnation, 4000));
