--- a/src/front/handle.rs
+++ b/src/front/handle.rs
@@ -110,16 +110,18 @@
     response
 }
 
-/// Time for which a configuration read counts as current.
-const CURRENT: Duration = Duration::from_millis(1500);
+/// Share of the time in which a configuration must be in force for which a read counts as
+/// current.
+const CURRENT_SHARE: f64 = 0.75;
 
 async fn answer(shared: &Rc<Shared>, call: Call) -> (String, Response<Body>) {
     let now = Boot::now();
     let deployment = shared.deployment();
+    let current = shared.settings.bounds.apply.mul_f64(CURRENT_SHARE);
     let knowledge = Knowledge {
         deployment: deployment.as_deref(),
         fresh: shared.is_fresh(now),
-        current: shared.contacts.borrow().operator.is_within(CURRENT, now),
+        current: shared.contacts.borrow().operator.is_within(current, now),
     };
     let intake = &call.intake;
     if let Some(response) = jobs_call(shared, &call, knowledge).await {
--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -26,6 +26,8 @@
 const STORE_AWAY: Duration = Duration::from_millis(500);
 /// Time to wait for the log to show whether a job exists.
 const KNOWN: Duration = Duration::from_millis(1200);
+/// Age of the last read of the log's end up to which there is no result where none is known.
+const SURE: Duration = Duration::from_millis(900);
 /// Bytes of one page of results.
 const PAGE_BYTES: usize = 900_000;
 /// Longest wait for a result.
@@ -162,8 +164,14 @@
         let Some((page, total, waits)) = page.own() else {
             return come_back(super::admit::ELSEWHERE);
         };
-        let left = deadline.left(Boot::now());
+        let now = Boot::now();
+        let left = deadline.left(now);
         if !waits || left.is_zero() {
+            // A result may stand at this position that was not read yet.
+            if waits && !shared.contacts.borrow().ledger.is_within(SURE, now) {
+                event!("results_unsure", "job" => job, "after" => after);
+                return come_back(super::admit::ELSEWHERE);
+            }
             return match texts::resolve(shared, page).await {
                 Some(page) => json(shared.dialect.results(total, after, &page)),
                 None => come_back(super::admit::ELSEWHERE),
--- a/src/instance/deployment.rs
+++ b/src/instance/deployment.rs
@@ -57,8 +57,6 @@
 /// How many backend servers may be ordered for a service.
 #[derive(Clone, Debug)]
 pub struct Scaling {
-    /// Fewest in each availability zone.
-    pub min: u32,
     /// Most in each availability zone.
     pub max: u32,
     /// Price of a server's second, by availability zone.
@@ -79,8 +77,6 @@
 /// Limits on what callers send.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// Bytes of a request's head.
-    pub head_bytes: usize,
     /// Bytes of a request's body.
     pub body_bytes: usize,
     /// Time for which a connection may stay idle.
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -199,7 +199,8 @@
                     shared.contacts.borrow_mut().ledger.note(sent, now);
                 }
                 shared.changed.notify_waiters();
-                if !is_empty {
+                // A process that starts reads on until it has caught up.
+                if !is_empty && next >= page.end {
                     sleep(LEDGER_PACE).await;
                 }
             }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -36,6 +36,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Time between two rounds of forgetting old jobs.
 const PRUNE: Duration = Duration::from_secs(5);
+/// Silence after which an instance is forgotten.
+const MEMBER_KEPT: Duration = Duration::from_secs(60);
 /// Time beyond the stated one for which a job is kept.
 const JOB_MARGIN: Duration = Duration::from_secs(10);
 
@@ -190,7 +192,11 @@
     loop {
         sleep(PRUNE).await;
         let kept = shared.settings.bounds.job_kept + JOB_MARGIN;
-        shared.fold.borrow_mut().jobs.prune(unix_ms(), kept);
+        let mut fold = shared.fold.borrow_mut();
+        fold.jobs.prune(unix_ms(), kept);
+        let seen = shared.contacts.borrow().ledger.seen.unwrap_or_default();
+        fold.members
+            .retain(|_, member| member.heard + MEMBER_KEPT >= seen);
     }
 }
 
--- a/src/instance/settings.rs
+++ b/src/instance/settings.rs
@@ -1,6 +1,5 @@
 //! Settings of an instance on a platform, with the bounds that the platform states.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,8 +10,6 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
-    /// Regions by availability zone.
-    pub regions: BTreeMap<String, String>,
     /// Address for callers' requests.
     pub front: Option<SocketAddr>,
     /// Address of the readiness check.
@@ -42,8 +39,6 @@
     pub apply: Duration,
     /// A process ends within this long after SIGTERM.
     pub grace: Duration,
-    /// A leaving backend server may be sent requests for this long.
-    pub drain: Duration,
     /// A lease holder must have been unheard for this long before another takes over.
     pub lease: Duration,
     /// Length of a usage window.
--- a/tests/instance/admit.rs
+++ b/tests/instance/admit.rs
@@ -33,7 +33,6 @@
         services: BTreeMap::new(),
         keys: Some(HashMap::from([("k".to_owned(), Rc::from("studio"))])),
         limits: Limits {
-            head_bytes: 1000,
             body_bytes: 1000,
             idle: Duration::from_secs(15),
         },
