--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -246,7 +246,7 @@
             if let Ok(host) = HeaderValue::from_str(&scorer.host) {
                 headers.insert(header::HOST, host);
             }
-            let call = repeat::Job {
+            let call = repeat::Sending {
                 id: &scorer.id,
                 route,
                 method: Method::POST,
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -42,7 +42,7 @@
 
 /// Passes a request on and gives the server's whole answer.
 pub async fn plain(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
-    let job = repeat::Job {
+    let job = repeat::Sending {
         id: &call.intake.id,
         route: &admitted.route,
         method: call.head.method.clone(),
--- a/src/front/handle.rs
+++ b/src/front/handle.rs
@@ -20,6 +20,11 @@
 
 /// Largest body before the first configuration is known.
 const BODY_DEFAULT: usize = 1 << 20;
+/// Time from which on the answer to a request is worth a line.
+const SLOW: Duration = Duration::from_millis(400);
+/// Share of the time in which a configuration must be in force for which a read counts as
+/// current.
+const CURRENT_SHARE: f64 = 0.75;
 
 /// Counts a request under way. Dropping it ends the count.
 struct Active(Rc<Shared>);
@@ -99,9 +104,6 @@
     Ok(response)
 }
 
-/// Time from which on the answer to a request is worth a line.
-const SLOW: Duration = Duration::from_millis(400);
-
 fn close(mut response: Response<Body>) -> Response<Body> {
     let value = http::HeaderValue::from_static("close");
     response
@@ -110,10 +112,6 @@
     response
 }
 
-/// Share of the time in which a configuration must be in force for which a read counts as
-/// current.
-const CURRENT_SHARE: f64 = 0.75;
-
 async fn answer(shared: &Rc<Shared>, call: Call) -> (String, Response<Body>) {
     let now = Boot::now();
     let deployment = shared.deployment();
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -27,7 +27,7 @@
 
 /// A request to send to a service.
 #[derive(Debug)]
-pub struct Job<'a> {
+pub struct Sending<'a> {
     /// Id of the request.
     pub id: &'a str,
     /// Its route.
@@ -62,6 +62,8 @@
     Unknown,
 }
 
+/// What the attempts of a request have come to so far.
+#[derive(Default)]
 struct Tally {
     runs: u32,
     refusals: u32,
@@ -73,41 +75,32 @@
 }
 
 /// Sends a request, to several servers if need be, and gives the best answer.
-pub async fn run(shared: &Shared, job: &Job<'_>) -> Done {
-    let repeatable = job.route.kind == Handling::Idempotent;
-    let service = job.route.target(rand::random());
-    let mut tally = Tally {
-        runs: 0,
-        refusals: 0,
-        tried: HashSet::new(),
-        last: None,
-        failures: 0,
-        unknown: false,
-        hedged: false,
-    };
+pub async fn run(shared: &Shared, sending: &Sending<'_>) -> Done {
+    let repeatable = sending.route.kind == Handling::Idempotent;
+    let service = sending.route.target(rand::random());
+    let mut tally = Tally::default();
     let mut calls = FuturesUnordered::new();
     loop {
         let now = Boot::now();
         if calls.is_empty() {
             let Some(backend) = shared.choose(service, &tally.tried) else {
-                event!("no_server", "id" => job.id, "service" => service);
+                event!("no_server", "id" => sending.id, "service" => service);
                 return tally.finish();
             };
-            tally.tried.insert(backend.id.clone());
-            tally.runs += 1;
-            calls.push(attempt(shared, job, backend));
+            tally.begin(&backend);
+            calls.push(attempt(shared, sending, backend));
         }
-        let may_hedge = repeatable && !tally.hedged && tally.runs < job.route.attempts;
+        let may_hedge = repeatable && !tally.hedged && tally.runs < sending.route.attempts;
         let wake = if may_hedge {
-            hedge_at(now, job.route.objective).min(job.deadline)
+            hedge_at(now, sending.route.objective).min(sending.deadline)
         } else {
-            job.deadline
+            sending.deadline
         };
         let next = timeout(wake.left(now), pin!(calls.next())).await;
         let now = Boot::now();
         let Ok(ended) = next else {
-            if now >= job.deadline {
-                event!("deadline", "id" => job.id, "runs" => tally.runs);
+            if now >= sending.deadline {
+                event!("deadline", "id" => sending.id, "runs" => tally.runs);
                 tally.unknown |= !calls.is_empty();
                 return tally.finish();
             }
@@ -115,17 +108,16 @@
             if let Some(backend) = shared.choose(service, &tally.tried)
                 && !tally.tried.contains(&backend.id)
             {
-                event!("hedge", "id" => job.id, "server" => backend.id);
-                tally.tried.insert(backend.id.clone());
-                tally.runs += 1;
-                calls.push(attempt(shared, job, backend));
+                event!("hedge", "id" => sending.id, "server" => backend.id);
+                tally.begin(&backend);
+                calls.push(attempt(shared, sending, backend));
             }
             continue;
         };
         let Some((backend, result)) = ended else {
             continue;
         };
-        let (ended, answer) = judge(shared, job, &backend, result);
+        let (ended, answer) = judge(shared, sending, &backend, result);
         match (ended, answer) {
             (None, Some(answer)) => return tally.answered(answer),
             (Some(ended), answer) => {
@@ -133,13 +125,7 @@
                 if !calls.is_empty() {
                     continue;
                 }
-                let limits = Limits {
-                    attempts: job.route.attempts.max(1),
-                    servers: u32::try_from(shared.count(service)).unwrap_or(u32::MAX),
-                    now,
-                    deadline: job.deadline,
-                    useful: USEFUL,
-                };
+                let limits = limits(shared, sending, service, now);
                 let next = after(ended, repeatable, tally.runs, tally.refusals, limits);
                 if next == Next::Stop {
                     return tally.finish();
@@ -154,7 +140,22 @@
     }
 }
 
+fn limits(shared: &Shared, sending: &Sending<'_>, service: &str, now: Boot) -> Limits {
+    Limits {
+        attempts: sending.route.attempts.max(1),
+        servers: u32::try_from(shared.count(service)).unwrap_or(u32::MAX),
+        now,
+        deadline: sending.deadline,
+        useful: USEFUL,
+    }
+}
+
 impl Tally {
+    fn begin(&mut self, backend: &Backend) {
+        self.tried.insert(backend.id.clone());
+        self.runs += 1;
+    }
+
     fn note(&mut self, ended: Ended, answer: Option<Answer>) {
         match ended {
             Ended::NotRun => {
@@ -190,23 +191,23 @@
 
 async fn attempt(
     shared: &Shared,
-    job: &Job<'_>,
+    sending: &Sending<'_>,
     backend: Rc<Backend>,
 ) -> (Rc<Backend>, Result<Answer, CallError>) {
     let _running = shared.load.enter(&backend.id);
     let outgoing = Outgoing {
-        method: job.method.clone(),
-        target: job.target,
-        headers: job.headers,
-        body: job.body.clone(),
+        method: sending.method.clone(),
+        target: sending.target,
+        headers: sending.headers,
+        body: sending.body.clone(),
     };
     let mut second = false;
     loop {
-        let left = job.deadline.left(Boot::now());
+        let left = sending.deadline.left(Boot::now());
         let dispatch = Dispatch {
-            id: Some(job.id),
+            id: Some(sending.id),
             server: &backend.id,
-            tenant: job.tenant,
+            tenant: sending.tenant,
             left: Some(left),
             resume: None,
         };
@@ -220,7 +221,7 @@
         };
         // A kept connection may have been closed by the server just before.
         let stale = matches!(&result, Err(CallError::Broken { .. }));
-        if stale && !second && job.route.kind == Handling::Idempotent {
+        if stale && !second && sending.route.kind == Handling::Idempotent {
             second = true;
             continue;
         }
@@ -231,14 +232,14 @@
 /// Classifies how an attempt ended; none for an answer that is passed on.
 fn judge(
     shared: &Shared,
-    job: &Job<'_>,
+    sending: &Sending<'_>,
     backend: &Backend,
     result: Result<Answer, CallError>,
 ) -> (Option<Ended>, Option<Answer>) {
     let now = Boot::now();
     match result {
         Ok(answer) if answer.is_not_run() => {
-            event!("turned_away", "id" => job.id, "server" => backend.id,
+            event!("turned_away", "id" => sending.id, "server" => backend.id,
                 "status" => answer.whole.status().as_u16());
             if answer.whole.status() == http::StatusCode::MISDIRECTED_REQUEST {
                 shared.load.suspect(&backend.id, now + SUSPECT);
@@ -247,17 +248,17 @@
         }
         Ok(answer) if answer.is_success() => (None, Some(answer)),
         Ok(answer) if answer.whole.status().is_success() => {
-            event!("unsigned_answer", "id" => job.id, "server" => backend.id);
+            event!("unsigned_answer", "id" => sending.id, "server" => backend.id);
             (Some(Ended::Unknown), None)
         }
         Ok(answer) if answer.whole.status().is_server_error() => {
-            event!("server_failed", "id" => job.id, "server" => backend.id,
+            event!("server_failed", "id" => sending.id, "server" => backend.id,
                 "status" => answer.whole.status().as_u16());
             (Some(Ended::Failed), Some(answer))
         }
         Ok(answer) => (None, Some(answer)),
         Err(error) => {
-            event!("call_failed", "id" => job.id, "server" => backend.id, "error" => error);
+            event!("call_failed", "id" => sending.id, "server" => backend.id, "error" => error);
             // A server whose connections are all in use is not at fault.
             if !error.is_busy() {
                 shared.load.suspect(&backend.id, now + SUSPECT);
