--- a/src/drive/moving.rs
+++ b/src/drive/moving.rs
@@ -10,9 +10,11 @@
 
 /// Running items of a service, and the servers with room.
 pub(super) struct Board {
+    /// The running items, their state, and the servers that run them, by position.
     keys: Vec<Key>,
     items: Vec<Running>,
     servers: Vec<String>,
+    /// Servers with room, and their ids, by position.
     seats: Vec<Seat>,
     ids: Vec<String>,
 }
