--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -55,6 +55,9 @@
         return come_back(STORE_AWAY);
     }
     let items = submission.items.len();
+    let model = submission.model.clone();
+    let min_version = submission.min_version;
+    let target = submission.group_target;
     let record = JobRecord {
         id: intake.id.clone(),
         host: intake.host.clone(),
@@ -72,7 +75,15 @@
         .writer
         .write(&Record::Job(Box::new(record)), deadline)
         .await;
-    event!("job", "job" => intake.id, "items" => items, "outcome" => format!("{outcome:?}"));
+    event!(
+        "job",
+        "job" => intake.id,
+        "model" => model,
+        "min_version" => min_version,
+        "items" => items,
+        "group_target" => target,
+        "outcome" => format!("{outcome:?}"),
+    );
     match outcome {
         Outcome::Written(_) => status(StatusCode::ACCEPTED),
         Outcome::Unsent => come_back(STORE_AWAY),
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
@@ -173,11 +174,29 @@
     shared.changed.notify_waiters();
 }
 
+/// What a process that starts has read of the log.
+#[derive(Default)]
+struct Reading {
+    pages: usize,
+    records: usize,
+    bytes: usize,
+}
+
+impl Reading {
+    fn add(&mut self, page: &Page<Bytes>) {
+        self.pages += 1;
+        self.records += page.items.len();
+        self.bytes += page.items.iter().map(|(_, piece)| piece.len()).sum::<usize>();
+    }
+}
+
 /// Follows the instances' log.
 pub async fn ledger(shared: Rc<Shared>) {
     let mut watch = Watch::new("ledger");
     let mut decoder = Decoder::default();
     let mut next = 0;
+    let started = Boot::now();
+    let mut start = Some(Reading::default());
     loop {
         let sent = Boot::now();
         match read(shared.store.ledger(next, HOLD)).await {
@@ -185,6 +204,9 @@
                 watch.answered();
                 let now = Boot::now();
                 let is_empty = page.items.is_empty();
+                if let Some(reading) = &mut start {
+                    reading.add(&page);
+                }
                 for (offset, piece) in page.items {
                     match decoder.push(&piece) {
                         Ok(Some(record)) => {
@@ -197,6 +219,11 @@
                 next = page.next;
                 if page.next >= page.end {
                     shared.contacts.borrow_mut().ledger.note(sent, now);
+                    if let Some(reading) = start.take() {
+                        let took = now.since(started).as_millis();
+                        event!("ledger_read", "pages" => reading.pages, "records" => reading.records,
+                            "bytes" => reading.bytes, "took_ms" => took);
+                    }
                 }
                 shared.changed.notify_waiters();
                 // A process that starts reads on until it has caught up.
