--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -13,7 +13,7 @@
 use crate::instance::Shared;
 use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
-use crate::job::{Item, ItemEnd, Scorer};
+use crate::job::{Content, Item, ItemEnd, Scorer};
 use crate::relay::call::{self, Outgoing};
 use crate::relay::repeat::{self, Done};
 
@@ -35,6 +35,8 @@
     pub job: String,
     /// The item.
     pub item: Item,
+    /// Its request.
+    pub content: Content,
     /// Host of the job's route.
     pub host: String,
     /// Tenant of the job.
@@ -80,12 +82,12 @@
     watch: &impl Watch,
 ) -> RunEnd {
     let _running = shared.load.enter(&backend.id);
-    let headers = headers(&task.item, &task.host);
+    let headers = headers(task);
     let outgoing = Outgoing {
         method: Method::POST,
-        target: &task.item.path,
+        target: &task.content.path,
         headers: &headers,
-        body: task.item.body.clone(),
+        body: task.content.body.clone(),
     };
     let dispatch = Dispatch {
         id: Some(&task.item.id),
@@ -216,17 +218,17 @@
     RunEnd::Whole
 }
 
-fn headers(item: &Item, host: &str) -> HeaderMap {
+fn headers(task: &Task) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    for (name, value) in &item.headers {
+    for (name, value) in &task.content.headers {
         let name = HeaderName::from_bytes(name.as_bytes());
         if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
             headers.append(name, value);
         } else {
-            event!("item_header", "item" => item.id, "error" => "a header is malformed");
+            event!("item_header", "item" => task.item.id, "error" => "a header is malformed");
         }
     }
-    if let Ok(host) = HeaderValue::from_str(host) {
+    if let Ok(host) = HeaderValue::from_str(&task.host) {
         headers.insert(header::HOST, host);
     }
     headers
--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -9,10 +9,10 @@
 use super::item::{self, RunEnd, Task};
 use super::sample::Sample;
 use crate::boot::Boot;
-use crate::instance::Shared;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
-use crate::job::{ItemEnd, Jobs, Listed, Text};
+use crate::job::{Extent, ItemEnd, Listed};
+use crate::ledger::drafts::{Saved, SavedDrafts};
 use crate::ledger::record::{self, Record};
 
 /// Time for which a server that turned an item away gets no other one.
@@ -20,36 +20,34 @@
 /// Time for which a server that broke a run off gets no other one.
 const BROKEN_REST: Duration = Duration::from_millis(1500);
 /// Time for which an unfinished text is kept for a job that brings the item again.
-const DRAFT_KEPT: Duration = Duration::from_secs(30);
+pub(super) const DRAFT_KEPT: Duration = Duration::from_secs(30);
 
 /// The text of an item and the weight versions that made it.
 #[derive(Clone, Debug)]
 pub(super) struct ItemText {
-    pub(super) output: String,
+    pub(super) output: Output,
     pub(super) versions: Vec<u64>,
 }
 
-/// What is listed for an item.
+/// Where the text of an item is.
 #[derive(Clone, Debug)]
-pub(super) struct Ended {
-    end: ItemEnd,
-    text: ItemText,
-    score: Option<String>,
+pub(super) enum Output {
+    /// It was made here and is not stored yet.
+    Made(String),
+    /// An earlier job's result has it.
+    Stored(Extent),
 }
 
-impl Ended {
-    /// An item that was given up.
-    pub(super) fn dead() -> Self {
-        let text = ItemText {
-            output: String::new(),
-            versions: Vec::new(),
-        };
-        Self {
-            end: ItemEnd::Dead,
-            text,
-            score: None,
-        }
-    }
+/// What is listed for an item.
+#[derive(Clone, Debug)]
+pub(super) enum Ended {
+    /// Its text is whole and scored.
+    Complete {
+        text: ItemText,
+        score: Option<String>,
+    },
+    /// It was given up.
+    Dead,
 }
 
 /// What was made of an item so far.
@@ -59,6 +57,8 @@
     whole: Cell<bool>,
     /// Answers of servers that failed, and the job that got them.
     failures: RefCell<(String, u32)>,
+    /// Fencing number of the lease under which its text was saved last.
+    fence: Cell<u64>,
     used: Cell<Boot>,
 }
 
@@ -72,12 +72,13 @@
 const SAVE_EVENTS: usize = 12;
 
 impl Drafts {
-    /// The draft of an item; a new one starts from what the log has.
-    fn get(&self, item: &str, jobs: &Jobs) -> Rc<Draft> {
+    /// The draft of an item, which goes on from what a former leader saved.
+    fn get(&self, item: &str, saved: &mut SavedDrafts) -> Rc<Draft> {
         let mut drafts = self.0.borrow_mut();
-        let new = || Rc::new(Draft::of(item, jobs));
-        let draft = drafts.entry(item.to_owned()).or_insert_with(new);
-        draft.catch_up(item, jobs);
+        let draft = drafts.entry(item.to_owned()).or_default();
+        if let Some(saved) = saved.take(item) {
+            draft.catch_up(saved);
+        }
         draft.used.set(Boot::now());
         Rc::clone(draft)
     }
@@ -91,51 +92,49 @@
         drafts.retain(|_, draft| now < draft.used.get() + DRAFT_KEPT);
     }
 
-    /// What is to be saved of the items that `is_running` names; all of it if `all`.
-    pub(super) fn unsaved(&self, is_running: impl Fn(&str) -> bool, all: bool) -> Vec<Record> {
+    /// What is to be saved of the items that run, given with the fences of their leases;
+    /// all of it if `all`.
+    pub(super) fn unsaved(&self, running: &HashMap<&str, u64>, all: bool) -> Vec<record::Draft> {
         let drafts = self.0.borrow();
-        let running = drafts.iter().filter(|(item, _)| is_running(item));
         let least = if all { 1 } else { SAVE_EVENTS };
         running
-            .filter_map(|(item, draft)| draft.part(item, least))
+            .iter()
+            .filter_map(|(item, fence)| drafts.get(*item)?.part(item, *fence, least))
             .collect()
     }
 }
 
 impl Draft {
-    fn of(item: &str, jobs: &Jobs) -> Self {
-        let draft = Self::default();
-        draft.catch_up(item, jobs);
-        draft
-    }
-
-    /// Takes the text that the log has, if it is longer.
-    fn catch_up(&self, item: &str, jobs: &Jobs) {
+    /// Takes the text that a former leader saved, if it is longer.
+    fn catch_up(&self, saved: Saved) {
         let mut sample = self.sample.borrow_mut();
-        let saved = jobs.saved(item);
-        if let Some(saved) = saved.filter(|saved| saved.data.len() > sample.data.len()) {
+        if saved.data.len() > sample.data.len() {
             *sample = Sample {
-                data: saved.data.clone(),
+                data: saved.data,
                 last: Some(saved.last),
-                versions: saved.versions.clone(),
-                saved: saved.data.len(),
+                versions: saved.versions,
+                saved: 0,
             };
         }
     }
 
-    /// The part that is not saved yet, if it has `least` events or more.
-    fn part(&self, item: &str, least: usize) -> Option<Record> {
+    /// The part that is not saved yet under a lease, if it has `least` events or more.
+    fn part(&self, item: &str, fence: u64, least: usize) -> Option<record::Draft> {
         let mut sample = self.sample.borrow_mut();
+        if self.fence.replace(fence) != fence {
+            sample.saved = 0;
+        }
         let from = sample.saved;
         let end = sample.last.filter(|_| sample.data.len() >= from + least)?;
         sample.saved = sample.data.len();
-        Some(Record::Draft(record::Draft {
+        Some(record::Draft {
+            fence,
             item: item.to_owned(),
             from,
             data: sample.data[from..].to_vec(),
             last: end,
             versions: sample.versions.clone(),
-        }))
+        })
     }
 
     fn restart(&self) {
@@ -158,7 +157,7 @@
 pub(super) async fn make(driver: &Driver, task: &Task, backend: &Rc<Backend>, attempts: u32) {
     let draft = driver
         .drafts
-        .get(&task.item.id, &driver.shared.fold.borrow().jobs);
+        .get(&task.item.id, &mut driver.saved_drafts.borrow_mut());
     let version = driver.weights.version(backend, &task.model);
     if !task.fit.allows(&draft.sample.borrow(), version) {
         draft.restart();
@@ -185,7 +184,7 @@
     let text = {
         let sample = draft.sample.borrow();
         ItemText {
-            output: sample.text(),
+            output: Output::Made(sample.text()),
             versions: sample.versions.clone(),
         }
     };
@@ -205,12 +204,12 @@
     match end {
         RunEnd::Whole => return true,
         RunEnd::Impossible => {
-            driver.list(&task.job, &task.item.id, Ended::dead());
+            driver.list(&task.job, &task.item.id, Ended::Dead);
             return false;
         }
         RunEnd::Failed => {
             if draft.fail(&task.job) >= attempts {
-                driver.list(&task.job, &task.item.id, Ended::dead());
+                driver.list(&task.job, &task.item.id, Ended::Dead);
                 return false;
             }
         }
@@ -228,61 +227,54 @@
 impl Driver {
     /// Has a whole text scored, and lists it.
     pub(super) async fn finish(&self, task: &Task, text: ItemText) {
-        let (end, score) = match &task.item.scorer {
+        let (end, score) = match &task.content.scorer {
             Some(scorer) => item::score(&self.shared, task, scorer).await,
             None => (ItemEnd::Complete, None),
         };
         let ended = match end {
-            ItemEnd::Complete => Ended { end, text, score },
-            ItemEnd::Dead => Ended::dead(),
+            ItemEnd::Complete => Ended::Complete { text, score },
+            ItemEnd::Dead => Ended::Dead,
         };
         self.list(&task.job, &task.item.id, ended);
     }
 
-    /// Writes a result to the log; the item counts as running until it is read there.
+    /// Writes a result to the ledger; the item counts as running until it is read there.
     pub(super) fn list(&self, job: &str, item: &str, ended: Ended) {
-        event!("item_listed", "job" => job, "item" => item, "end" => format!("{:?}", ended.end),
-            "versions" => format!("{:?}", ended.text.versions));
         self.drafts.remove(item);
-        let apart = ended.end == ItemEnd::Complete && self.shared.texts_apart();
-        let ItemText { output, versions } = ended.text;
-        let mut result = Listed {
-            item: item.to_owned(),
-            end: ended.end,
-            text: Text::Here(output),
-            versions,
-            score: ended.score,
+        let (text, score) = match ended {
+            Ended::Complete { text, score } => (Some(text), score),
+            Ended::Dead => (None, None),
         };
-        if apart {
-            let shared = Rc::clone(&self.shared);
-            let job = job.to_owned();
-            tokio::task::spawn_local(async move {
-                put_apart(&shared, &mut result).await;
-                let record = Record::Listed { job, result };
-                drop(shared.writer.push(&record));
-            });
-            return;
-        }
-        let record = Record::Listed {
-            job: job.to_owned(),
-            result,
-        };
-        drop(self.shared.writer.push(&record));
-    }
-}
-
-/// Writes a result's text to the log of texts.
-async fn put_apart(shared: &Shared, result: &mut Listed) {
-    let Text::Here(text) = &mut result.text else {
-        return;
-    };
-    let bytes = text.len();
-    let record = Record::Text(std::mem::take(text));
-    // An error means that the process ends.
-    if let Ok(ack) = shared.text_writer.push(&record).await {
-        result.text = Text::Apart {
-            offset: ack.offset,
-            bytes,
+        let end = if text.is_some() {
+            ItemEnd::Complete
+        } else {
+            ItemEnd::Dead
         };
+        let versions = text.as_ref().map(|text| text.versions.clone());
+        let versions = versions.unwrap_or_default();
+        event!("item_listed", "job" => job, "item" => item, "end" => format!("{end:?}"),
+            "versions" => format!("{versions:?}"));
+        let shared = Rc::clone(&self.shared);
+        let job = job.to_owned();
+        let item = item.to_owned();
+        tokio::task::spawn_local(async move {
+            let text = match text.map(|text| text.output) {
+                Some(Output::Made(text)) => shared.payloads.put_text(text).await,
+                Some(Output::Stored(extent)) => Some(extent),
+                None => None,
+            };
+            // A text that could not be stored means that the process ends.
+            if end == ItemEnd::Complete && text.is_none() {
+                return;
+            }
+            let result = Listed {
+                item,
+                end,
+                text,
+                versions,
+                score,
+            };
+            drop(shared.writer.push(&Record::Listed { job, result }));
+        });
     }
 }
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -8,10 +8,11 @@
 mod moving;
 pub mod sample;
 mod start;
+mod takeover;
 pub mod waves;
 pub mod weights;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,14 +27,14 @@
 use crate::instance::events::event;
 use crate::instance::leases;
 use crate::job::Job;
+use crate::ledger::drafts::SavedDrafts;
 use crate::ledger::record::Subject;
 use make::Drafts;
+use takeover::{Saving, Takeover};
 use weights::Weights;
 
 /// Longest time between two looks at what waits.
 const LOOK: Duration = Duration::from_millis(50);
-/// Time between two rounds of saving unfinished texts.
-const SAVE_PACE: Duration = Duration::from_millis(500);
 /// Time for which changes gather before they are looked at.
 const GATHER: Duration = Duration::from_millis(10);
 /// Share of the newest event in a server's pace.
@@ -73,8 +74,11 @@
     places: RefCell<HashMap<String, Place>>,
     /// The server that read a group's prompt last.
     homes: RefCell<HashMap<Key, String>>,
-    /// When unfinished texts were saved last.
-    saved: Cell<Boot>,
+    /// Unfinished texts of a former leader that no run has gone on with yet.
+    saved_drafts: RefCell<SavedDrafts>,
+    /// How far services have been taken over.
+    takeovers: RefCell<HashMap<String, Takeover>>,
+    saving: RefCell<Saving>,
     /// The model that a server is kept for, by the server's id.
     kept: RefCell<BTreeMap<String, String>>,
 }
@@ -90,7 +94,9 @@
             drafts: Drafts::default(),
             places: RefCell::default(),
             homes: RefCell::default(),
-            saved: Cell::default(),
+            saved_drafts: RefCell::default(),
+            takeovers: RefCell::default(),
+            saving: RefCell::default(),
             kept: RefCell::default(),
         })
     }
@@ -104,7 +110,7 @@
             sleep(GATHER).await;
             self.stop_needless();
             if self.shared.leaving.get().is_some() {
-                self.hand_over();
+                self.hand_over().await;
                 return;
             }
             self.save(false);
@@ -118,7 +124,11 @@
                 if self.shared.leads(&Subject::Service(name.clone())) {
                     self.keep_models(name, &engine.models);
                     moving::leave_slow(&self, name);
-                    let waiting = start::due(&self, &deployment, name);
+                    let waiting = if self.has_taken_over(name) {
+                        start::due(&self, &deployment, name)
+                    } else {
+                        Models::new()
+                    };
                     weights::step(&self, name, &waiting);
                 }
             }
@@ -301,24 +311,8 @@
 }
 
 impl Driver {
-    /// Saves the texts that items have made, so that another instance can go on with them.
-    ///
-    /// Where texts are apart, a successor makes them again.
-    fn save(&self, all: bool) {
-        let now = Boot::now();
-        if self.shared.texts_apart() || (!all && now < self.saved.get() + SAVE_PACE) {
-            return;
-        }
-        self.saved.set(now);
-        let runs = self.runs.borrow();
-        let running: HashSet<&str> = runs.keys().map(|(_, item)| item.as_str()).collect();
-        for record in self.drafts.unsaved(|item| running.contains(item), all) {
-            drop(self.shared.writer.push(&record));
-        }
-    }
-
     /// Stops all runs, saves their texts, and gives the leases up.
-    fn hand_over(&self) {
+    async fn hand_over(self: &Rc<Self>) {
         for run in self
             .runs
             .borrow()
@@ -330,6 +324,7 @@
             }
         }
         self.save(true);
+        self.saved_all().await;
         leases::release(&self.shared);
     }
 
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -4,16 +4,17 @@
 use std::rc::Rc;
 
 use super::item::Task;
-use super::make::{self, Ended};
+use super::make::{self, Ended, Output};
 use super::sample::Fit;
 use super::{Driver, Key, Models, Run, route, service};
 use crate::boot::Boot;
 use crate::instance::deployment::Deployment;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
+use crate::instance::payloads;
 use crate::job::order::{Waiting, queue};
 use crate::job::place::{Seat, place};
-use crate::job::{Job, Text};
+use crate::job::{Content, Job};
 use crate::util::{millis, unix_ms};
 
 /// Servers with room, as the placing of items changes them.
@@ -52,16 +53,19 @@
                 .runs
                 .borrow_mut()
                 .insert(key(job, &item.id), Run::default());
-            driver.list(&job.record.id, &item.id, Ended::dead());
+            driver.list(&job.record.id, &item.id, Ended::Dead);
             continue;
         }
+        let Some(content) = content(driver, job, waiting.at) else {
+            continue;
+        };
         let attempts = route.attempts.max(1);
         let fit = Fit {
             min: job.record.min_version,
             single: route.single_version,
         };
         if let Some(text) = earlier(&fold.jobs, job, &item.id, fit) {
-            let task = task(job, waiting.at, fit);
+            let task = task(job, waiting.at, content, fit);
             spawn(driver, key(job, &item.id), None, |driver| async move {
                 driver.finish(&task, text).await;
             });
@@ -76,7 +80,7 @@
             "spare" => waiting.spare);
         let home = key(job, &item.group);
         driver.homes.borrow_mut().insert(home, backend.id.clone());
-        let task = task(job, waiting.at, fit);
+        let task = task(job, waiting.at, content, fit);
         spawn(
             driver,
             key(job, &item.id),
@@ -171,20 +175,29 @@
         .then(|| jobs.earlier(&job.record.id, item))??;
     let young = listed.versions.iter().all(|version| *version >= fit.min);
     let fits = young && (!fit.single || listed.versions.len() == 1);
-    match &listed.text {
-        Text::Here(text) if fits => Some(make::ItemText {
-            output: text.clone(),
-            versions: listed.versions.clone(),
-        }),
-        _ => None,
-    }
+    let extent = listed.text.filter(|_| fits)?;
+    Some(make::ItemText {
+        output: Output::Stored(extent),
+        versions: listed.versions.clone(),
+    })
+}
+
+/// The content of an item; it is fetched if it is not known here.
+fn content(driver: &Driver, job: &Job, at: usize) -> Option<Content> {
+    let (extent, at) = job.record.part(at)?;
+    let Some(contents) = driver.shared.payloads.contents(extent) else {
+        payloads::fetch_later(&driver.shared, extent);
+        return None;
+    };
+    contents.get(at).cloned()
 }
 
-fn task(job: &Job, at: usize, fit: Fit) -> Task {
+fn task(job: &Job, at: usize, content: Content, fit: Fit) -> Task {
     let record = &job.record;
     Task {
         job: record.id.clone(),
         item: record.items[at].clone(),
+        content,
         host: record.host.clone(),
         tenant: record.tenant.clone(),
         model: record.model.clone(),
--- /dev/null
+++ b/src/drive/takeover.rs
@@ -0,0 +1,204 @@
+//! Reads the unfinished texts that a former leader saved, and saves this leader's own.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout};
+
+use super::Driver;
+use super::make::DRAFT_KEPT;
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::edge::{Log, StoreError};
+use crate::instance::events::event;
+use crate::ledger::drafts::{Ages, SavedDrafts};
+use crate::ledger::record::{Decoder, Draft, Subject};
+
+/// Time after which a new leader starts without the texts of the former one.
+///
+/// Making a long text again takes some seconds.
+const READ: Duration = Duration::from_millis(1500);
+/// Pause after a read that failed.
+const FAILED_PACE: Duration = Duration::from_millis(120);
+/// Time between two rounds of saving unfinished texts.
+const SAVE_PACE: Duration = Duration::from_millis(500);
+/// Time between two deletions of old drafts.
+const TRIM_PACE: Duration = Duration::from_secs(5);
+/// Time that a leaving leader waits for its last drafts to be written.
+const HAND_OVER: Duration = Duration::from_millis(400);
+/// Pause between two looks at whether they are written.
+const HAND_OVER_LOOK: Duration = Duration::from_millis(5);
+
+/// Whether the texts of a service's former leader have been read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Takeover {
+    /// They are being read under the lease with this fencing number.
+    Reading(u64),
+    /// They were read, or could not be, under the lease with this fencing number.
+    Done(u64),
+}
+
+/// When drafts were saved and deleted, and where the saved ones stand.
+#[derive(Debug, Default)]
+pub(super) struct Saving {
+    last: Boot,
+    trimmed: Boot,
+    ages: Ages,
+}
+
+impl Driver {
+    /// Whether a service's items may start: the former leader's texts are read first.
+    pub(super) fn has_taken_over(self: &Rc<Self>, service: &str) -> bool {
+        let Some(fence) = self.fence(service) else {
+            return false;
+        };
+        let known = self.takeovers.borrow().get(service).copied();
+        match known {
+            Some(Takeover::Done(done)) if done == fence => return true,
+            Some(Takeover::Reading(reading)) if reading == fence => return false,
+            _ => {}
+        }
+        let mut takeovers = self.takeovers.borrow_mut();
+        takeovers.insert(service.to_owned(), Takeover::Reading(fence));
+        let driver = Rc::clone(self);
+        let service = service.to_owned();
+        tokio::task::spawn_local(async move {
+            let started = Boot::now();
+            let read = timeout(READ, read(&driver.shared)).await;
+            let took = Boot::now().since(started).as_millis();
+            match read {
+                Ok(saved) => {
+                    event!("drafts_read", "service" => service, "fence" => fence,
+                        "items" => saved.len(), "took_ms" => took);
+                    driver.saved_drafts.replace(saved);
+                }
+                Err(_) => {
+                    event!("drafts_unread", "service" => service, "fence" => fence,
+                        "took_ms" => took);
+                }
+            }
+            let mut takeovers = driver.takeovers.borrow_mut();
+            takeovers.insert(service, Takeover::Done(fence));
+            driver.shared.changed.notify_waiters();
+        });
+        false
+    }
+
+    /// Fencing number of a service's lease, which this process holds.
+    fn fence(&self, service: &str) -> Option<u64> {
+        let fold = self.shared.fold.borrow();
+        let lease = fold.leases.get(&Subject::Service(service.to_owned()))?;
+        Some(lease.fence)
+    }
+
+    /// Saves the texts that items have made, so that another instance can go on with them.
+    pub(super) fn save(self: &Rc<Self>, all: bool) {
+        let now = Boot::now();
+        if !all && now < self.saving.borrow().last + SAVE_PACE {
+            return;
+        }
+        self.saving.borrow_mut().last = now;
+        let mut last = None;
+        for draft in self.unsaved(all) {
+            last = Some(self.shared.draft_writer.push(&draft));
+        }
+        let Some(written) = last else {
+            return;
+        };
+        let driver = Rc::clone(self);
+        tokio::task::spawn_local(async move {
+            // An error means that the process ends.
+            if let Ok(ack) = written.await {
+                driver
+                    .saving
+                    .borrow_mut()
+                    .ages
+                    .note(Boot::now(), ack.offset);
+                driver.trim().await;
+            }
+        });
+    }
+
+    fn unsaved(&self, all: bool) -> Vec<Draft> {
+        let Some(deployment) = self.shared.deployment() else {
+            return Vec::new();
+        };
+        let fold = self.shared.fold.borrow();
+        let runs = self.runs.borrow();
+        let mut running = HashMap::new();
+        for (job, item) in runs.keys() {
+            let Some(job) = fold.jobs.get(job) else {
+                continue;
+            };
+            let service = super::route(&deployment, job).map(|route| super::service(route, job));
+            let fence = service.and_then(|service| self.fence(service));
+            if let Some(fence) = fence {
+                running.insert(item.as_str(), fence);
+            }
+        }
+        self.drafts.unsaved(&running, all)
+    }
+
+    /// Deletes drafts that are too old to be of use.
+    async fn trim(&self) {
+        let now = Boot::now();
+        let before = {
+            let mut saving = self.saving.borrow_mut();
+            if now < saving.trimmed + TRIM_PACE {
+                return;
+            }
+            let Some(before) = saving.ages.expired(now, DRAFT_KEPT) else {
+                return;
+            };
+            saving.trimmed = now;
+            before
+        };
+        if let Err(error) = self.shared.store.trim(Log::Drafts, before).await {
+            event!("drafts_trim_failed", "before" => before, "error" => error);
+        }
+    }
+
+    /// Waits until the last drafts are written, as long as the next leader would gain by it.
+    pub(super) async fn saved_all(&self) {
+        let last = Boot::now() + HAND_OVER;
+        while Boot::now() < last && !self.shared.draft_writer.is_idle() {
+            sleep(HAND_OVER_LOOK).await;
+        }
+    }
+}
+
+/// Reads the log of drafts to its end.
+async fn read(shared: &Shared) -> SavedDrafts {
+    let mut saved = SavedDrafts::default();
+    let mut decoder = Decoder::default();
+    let mut next = 0;
+    loop {
+        let call = shared
+            .store
+            .read(Log::Drafts, next, usize::MAX, Duration::ZERO);
+        match call.await {
+            Ok(page) => {
+                for (offset, piece) in page.items {
+                    match decoder.push(&piece) {
+                        Ok(Some(draft)) => saved.save(draft),
+                        Ok(None) => {}
+                        Err(error) => event!("record", "offset" => offset, "error" => error),
+                    }
+                }
+                next = page.next;
+                if next >= page.end {
+                    return saved;
+                }
+            }
+            Err(StoreError::Expired { first }) => {
+                decoder = Decoder::default();
+                next = first;
+            }
+            Err(error) => {
+                event!("drafts_read_failed", "from" => next, "error" => error);
+                sleep(FAILED_PACE).await;
+            }
+        }
+    }
+}
--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -9,11 +9,11 @@
 use super::admit::Admitted;
 use super::handle::Call;
 use super::reply::{Body, come_back, json, status, whole};
-use super::texts;
 use crate::boot::Boot;
-use crate::instance::Shared;
+use crate::instance::edge::Shown;
 use crate::instance::events::event;
-use crate::job::{Job, JobRecord, Listed};
+use crate::instance::{Shared, payloads};
+use crate::job::{Extent, Job, JobRecord, Listed};
 use crate::ledger::record::Record;
 use crate::ledger::writer::Outcome;
 use crate::util::unix_ms;
@@ -58,6 +58,17 @@
     let model = submission.model.clone();
     let min_version = submission.min_version;
     let target = submission.group_target;
+    let patience = intake.patience.unwrap_or(ACCEPT).min(ACCEPT);
+    let deadline = Boot::now() + patience;
+    let stored = shared.payloads.put_contents(submission.contents, deadline);
+    let parts = match stored.await {
+        Ok(parts) => parts,
+        Err(outcome) => {
+            // Contents that no job names are never run.
+            event!("job_not_stored", "job" => intake.id, "outcome" => format!("{outcome:?}"));
+            return come_back(STORE_AWAY);
+        }
+    };
     let record = JobRecord {
         id: intake.id.clone(),
         host: intake.host.clone(),
@@ -68,9 +79,8 @@
         min_version: submission.min_version,
         group_target: submission.group_target,
         items: submission.items,
+        parts,
     };
-    let patience = intake.patience.unwrap_or(ACCEPT).min(ACCEPT);
-    let deadline = Boot::now() + patience;
     let outcome = shared
         .writer
         .write(&Record::Job(Box::new(record)), deadline)
@@ -183,7 +193,7 @@
                 event!("results_unsure", "job" => job, "after" => after);
                 return come_back(super::admit::ELSEWHERE);
             }
-            return match texts::resolve(shared, page).await {
+            return match with_texts(shared, page).await {
                 Some(page) => json(shared.dialect.results(total, after, &page)),
                 None => come_back(super::admit::ELSEWHERE),
             };
@@ -199,7 +209,7 @@
     let mut bytes = 0;
     let fits = |result: &&Rc<Listed>| {
         let first = bytes == 0;
-        bytes += result.text.bytes() * 2 + 200;
+        bytes += result.text.map_or(0, |text| text.bytes) * 2 + 200;
         first || bytes < PAGE_BYTES
     };
     listed.iter().take_while(fits).map(Rc::clone).collect()
@@ -211,12 +221,37 @@
         return *response;
     }
     let found = with_job(shared, job, tenant, |job| {
-        job.item(item).map(|item| item.body.clone())
+        job.record.part(job.position(item)?)
     });
-    match found.own().flatten() {
-        Some(body) => Response::new(whole(body)),
-        None => status(StatusCode::NOT_FOUND),
+    let Some((extent, at)) = found.own().flatten() else {
+        return status(StatusCode::NOT_FOUND);
+    };
+    if !payloads::fetch(shared, &[extent]).await {
+        return come_back(super::admit::ELSEWHERE);
     }
+    let contents = shared.payloads.contents(extent);
+    let content = contents.as_ref().and_then(|contents| contents.get(at));
+    let Some(content) = content else {
+        event!("content_missing", "job" => job, "item" => item, "offset" => extent.offset);
+        return status(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    Response::new(whole(content.body.clone()))
+}
+
+/// Results with their texts; none if a text cannot be read now.
+async fn with_texts(shared: &Shared, page: Vec<Rc<Listed>>) -> Option<Vec<Shown>> {
+    let extents: Vec<Extent> = page.iter().filter_map(|listed| listed.text).collect();
+    if !payloads::fetch(shared, &extents).await {
+        return None;
+    }
+    let show = |listed: Rc<Listed>| {
+        let text = match listed.text {
+            Some(extent) => shared.payloads.text(extent)?,
+            None => Rc::from(""),
+        };
+        Some(Shown { listed, text })
+    };
+    page.into_iter().map(show).collect()
 }
 
 /// Ends a job.
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,4 +6,3 @@
 pub mod jobs;
 pub mod listen;
 pub mod reply;
-mod texts;
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -54,8 +54,10 @@
 pub enum Log {
     /// What every instance follows.
     Ledger,
-    /// Texts of samples, read by whoever is asked for them.
-    Texts,
+    /// Contents of jobs and texts of results, read by whoever needs them.
+    Payloads,
+    /// Unfinished texts, read by an instance that becomes a service's leader.
+    Drafts,
 }
 
 /// Records to append together, repeatable by the writer's sequence number.
@@ -144,15 +146,17 @@
     /// Appends a batch to a log and returns the offset of its first record.
     fn append<'a>(&'a self, batch: &'a Batch) -> LocalBoxFuture<'a, Result<u64, StoreError>>;
 
-    /// Reads the instances' log, waiting up to `wait` for the first record.
-    fn ledger(
+    /// Reads about `bytes` of a log, waiting up to `wait` for the first record.
+    fn read(
         &self,
+        log: Log,
         from: u64,
+        bytes: usize,
         wait: Duration,
     ) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>>;
 
-    /// Reads the log of texts from an offset on, without waiting.
-    fn texts(&self, from: u64) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>>;
+    /// Deletes the records of a log before an offset.
+    fn trim(&self, log: Log, before: u64) -> LocalBoxFuture<'_, Result<(), StoreError>>;
 
     /// Reads what operators wrote; without `from`, the present state.
     fn operator(
@@ -297,6 +301,8 @@
     pub group_target: usize,
     /// The samples to make.
     pub items: Vec<crate::job::Item>,
+    /// Their requests, in the same order.
+    pub contents: Vec<crate::job::Content>,
 }
 
 /// An engine's own account of itself.
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use super::edge::{OperatorNews, Page, ServerNews, StoreError};
+use super::edge::{Log, OperatorNews, Page, ServerNews, StoreError};
 use super::events::event;
 use crate::boot::Boot;
 use crate::ledger::record::Decoder;
@@ -186,7 +186,11 @@
     fn add(&mut self, page: &Page<Bytes>) {
         self.pages += 1;
         self.records += page.items.len();
-        self.bytes += page.items.iter().map(|(_, piece)| piece.len()).sum::<usize>();
+        self.bytes += page
+            .items
+            .iter()
+            .map(|(_, piece)| piece.len())
+            .sum::<usize>();
     }
 }
 
@@ -199,7 +203,7 @@
     let mut start = Some(Reading::default());
     loop {
         let sent = Boot::now();
-        match read(shared.store.ledger(next, HOLD)).await {
+        match read(shared.store.read(Log::Ledger, next, usize::MAX, HOLD)).await {
             Ok(page) => {
                 watch.answered();
                 let now = Boot::now();
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -10,6 +10,7 @@
 pub mod follow;
 pub mod leases;
 pub mod metrics;
+pub mod payloads;
 pub mod run;
 pub mod settings;
 
@@ -32,17 +33,12 @@
 use edge::{Backend, Cloud, Dialect, Holder, Store};
 use fleet::Fleet;
 use metrics::Metrics;
+use payloads::Payloads;
 use settings::InstanceSettings;
 
 /// What the withdrawal bound is shortened by, for a request that is just being read.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
 
-/// Instances up to which the ledger carries the samples' texts.
-///
-/// A round of a hundred samples holds half a megabyte of text. Sixteen readers take a tenth
-/// of what the store can send in a second; with more of them all would fall behind.
-const TEXTS_HERE_MAX: usize = 16;
-
 /// Contact with each stream of the store.
 #[derive(Debug, Default)]
 pub struct Contacts {
@@ -83,10 +79,10 @@
     pub beat: Notify,
     /// Appends to the instances' log.
     pub writer: Writer,
-    /// Appends to the log of texts.
-    pub text_writer: Writer,
-    /// Texts that were read from their log, by offset.
-    pub texts: RefCell<BTreeMap<u64, Rc<str>>>,
+    /// Contents of jobs and texts of results.
+    pub payloads: Payloads,
+    /// Appends to the log of drafts.
+    pub draft_writer: Writer,
     /// Connections to backend servers.
     pub pool: Pool,
     /// Load of backend servers as seen here.
@@ -196,12 +192,6 @@
         }
     }
 
-    /// Whether texts go to a log of their own instead of to every instance.
-    #[must_use]
-    pub fn texts_apart(&self) -> bool {
-        self.fold.borrow().members.len() > TEXTS_HERE_MAX
-    }
-
     /// Counts a request that began to run at Unix time `wall`, in milliseconds.
     pub fn count_usage(&self, tenant: &str, wall: u64) {
         let window = wall / crate::util::millis(self.settings.bounds.window).max(1);
--- /dev/null
+++ b/src/instance/payloads.rs
@@ -0,0 +1,282 @@
+//! Payloads: contents of jobs and texts of results, which stand in a log of their own.
+//!
+//! Every instance reads the ledger, so what only a job's leader or one caller needs is kept
+//! out of it, and found by its place in the log of payloads.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use tokio::time::{sleep, timeout};
+
+use super::Shared;
+use super::edge::{Log, Page};
+use super::events::event;
+use crate::boot::Boot;
+use crate::job::{Content, Extent, Part};
+use crate::ledger::record::{Decoder, Payload};
+use crate::ledger::writer::{Ack, Outcome, Writer};
+
+/// Time within which the store answers a read.
+const ANSWER: Duration = Duration::from_millis(900);
+/// Pause after a read that failed.
+const FAILED_PACE: Duration = Duration::from_millis(120);
+/// Bytes of payloads that are remembered: some ten rounds of a hundred samples.
+const REMEMBERED: usize = 4 << 20;
+/// Bytes of contents from which on a new payload begins.
+const PART_BYTES: usize = 128 << 10;
+/// What a read asks for beyond the payloads wanted, for their framing.
+const FRAMING: usize = 4 << 10;
+
+/// A payload as it was read.
+#[derive(Clone, Debug)]
+enum Loaded {
+    Text(Rc<str>),
+    Contents(Rc<[Content]>),
+}
+
+impl From<Payload> for Loaded {
+    fn from(payload: Payload) -> Self {
+        match payload {
+            Payload::Text(text) => Self::Text(text.into()),
+            Payload::Contents(contents) => Self::Contents(contents.into()),
+        }
+    }
+}
+
+/// Payloads that were written or read lately, by offset.
+#[derive(Debug, Default)]
+struct Known {
+    payloads: HashMap<u64, Loaded>,
+    /// Offsets and sizes in the order in which they came.
+    order: VecDeque<(u64, usize)>,
+    bytes: usize,
+}
+
+impl Known {
+    fn get(&self, extent: Extent) -> Option<&Loaded> {
+        self.payloads.get(&extent.offset)
+    }
+
+    /// Remembers a payload; those that came first are forgotten, but not this one.
+    fn insert(&mut self, extent: Extent, loaded: Loaded) {
+        if self.payloads.insert(extent.offset, loaded).is_some() {
+            return;
+        }
+        self.order.push_back((extent.offset, extent.bytes));
+        self.bytes += extent.bytes;
+        while self.bytes > REMEMBERED
+            && self.order.len() > 1
+            && let Some((offset, bytes)) = self.order.pop_front()
+        {
+            self.payloads.remove(&offset);
+            self.bytes -= bytes;
+        }
+    }
+}
+
+/// Writes payloads, and reads them when they are needed.
+#[derive(Debug)]
+pub struct Payloads {
+    /// Appends to their log.
+    pub writer: Writer,
+    known: RefCell<Known>,
+    /// Offsets that are being read.
+    coming: RefCell<HashSet<u64>>,
+}
+
+impl Payloads {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(writer: Writer) -> Self {
+        Self {
+            writer,
+            known: RefCell::default(),
+            coming: RefCell::default(),
+        }
+    }
+
+    /// Writes a text, however long that takes; none if the process ends before.
+    pub async fn put_text(&self, text: String) -> Option<Extent> {
+        let payload = Payload::Text(text);
+        let ack = self.writer.push(&payload).await.ok()?;
+        Some(self.remember(ack, payload))
+    }
+
+    /// Writes the contents of a job's items in parts.
+    ///
+    /// # Errors
+    /// How the append of a part ended that was not written by `deadline`.
+    pub async fn put_contents(
+        &self,
+        contents: Vec<Content>,
+        deadline: Boot,
+    ) -> Result<Vec<Part>, Outcome> {
+        let mut first = 0;
+        let parts = split(contents).into_iter().map(|contents| {
+            let at = first;
+            first += contents.len();
+            self.put_part(at, contents, deadline)
+        });
+        join_all(parts).await.into_iter().collect()
+    }
+
+    async fn put_part(
+        &self,
+        first: usize,
+        contents: Vec<Content>,
+        deadline: Boot,
+    ) -> Result<Part, Outcome> {
+        let payload = Payload::Contents(contents);
+        match self.writer.write(&payload, deadline).await {
+            Outcome::Written(ack) => Ok(Part {
+                first,
+                extent: self.remember(ack, payload),
+            }),
+            outcome @ (Outcome::Unsent | Outcome::Unknown) => Err(outcome),
+        }
+    }
+
+    fn remember(&self, ack: Ack, payload: Payload) -> Extent {
+        let extent = Extent {
+            offset: ack.offset,
+            bytes: ack.bytes,
+        };
+        self.known.borrow_mut().insert(extent, payload.into());
+        extent
+    }
+
+    /// Contents that are known here.
+    #[must_use]
+    pub fn contents(&self, extent: Extent) -> Option<Rc<[Content]>> {
+        match self.known.borrow().get(extent)? {
+            Loaded::Contents(contents) => Some(Rc::clone(contents)),
+            Loaded::Text(_) => None,
+        }
+    }
+
+    /// The text at a place, if it is known here.
+    #[must_use]
+    pub fn text(&self, extent: Extent) -> Option<Rc<str>> {
+        match self.known.borrow().get(extent)? {
+            Loaded::Text(text) => Some(Rc::clone(text)),
+            Loaded::Contents(_) => None,
+        }
+    }
+}
+
+/// Splits contents into payloads of bounded size.
+fn split(contents: Vec<Content>) -> Vec<Vec<Content>> {
+    let mut parts: Vec<Vec<Content>> = Vec::new();
+    let mut bytes = PART_BYTES;
+    for content in contents {
+        if bytes >= PART_BYTES {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        let scorer = content.scorer.as_ref();
+        bytes += content.body.len() + scorer.map_or(0, |scorer| scorer.body.len());
+        if let Some(part) = parts.last_mut() {
+            part.push(content);
+        }
+    }
+    parts
+}
+
+/// Reads payloads that are not known yet; whether all of them are known now.
+///
+/// Payloads that were written at about the same time come with one read.
+pub async fn fetch(shared: &Shared, extents: &[Extent]) -> bool {
+    let payloads = &shared.payloads;
+    let missing = || -> Vec<Extent> {
+        let known = payloads.known.borrow();
+        let mut missing: Vec<Extent> = extents.to_vec();
+        missing.retain(|extent| known.get(*extent).is_none());
+        missing.sort_by_key(|extent| extent.offset);
+        missing
+    };
+    loop {
+        let wanted = missing();
+        let Some(first) = wanted.first() else {
+            return true;
+        };
+        let bytes = wanted.iter().map(|extent| extent.bytes).sum::<usize>() + FRAMING;
+        let Some(read) = read(shared, first.offset, bytes).await else {
+            return false;
+        };
+        let mut known = payloads.known.borrow_mut();
+        for extent in &wanted {
+            if let Some(payload) = read.get(&extent.offset) {
+                known.insert(*extent, payload.clone());
+            }
+        }
+        if known.get(*first).is_none() {
+            event!("payload_missing", "offset" => first.offset, "bytes" => first.bytes);
+            return false;
+        }
+    }
+}
+
+/// Reads a payload in the background, once; tells `changed` when it is known.
+pub fn fetch_later(shared: &Rc<Shared>, extent: Extent) {
+    if !shared.payloads.coming.borrow_mut().insert(extent.offset) {
+        return;
+    }
+    let shared = Rc::clone(shared);
+    tokio::task::spawn_local(async move {
+        if !fetch(&shared, &[extent]).await {
+            sleep(FAILED_PACE).await;
+        }
+        shared.payloads.coming.borrow_mut().remove(&extent.offset);
+        shared.changed.notify_waiters();
+    });
+}
+
+/// Reads from a payload on until that one is whole.
+async fn read(shared: &Shared, from: u64, bytes: usize) -> Option<BTreeMap<u64, Loaded>> {
+    let mut decoder = Decoder::<Payload>::default();
+    let mut found = BTreeMap::new();
+    let mut first = from;
+    let mut next = from;
+    loop {
+        let page = page(shared, next, bytes).await?;
+        let is_last = page.items.is_empty() || page.next >= page.end;
+        for (at, piece) in page.items {
+            match decoder.push(&piece) {
+                Ok(Some(payload)) => {
+                    found.insert(first, Loaded::from(payload));
+                    first = at + 1;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    event!("record", "offset" => at, "error" => error);
+                    first = at + 1;
+                }
+            }
+        }
+        next = page.next;
+        if is_last || !found.is_empty() {
+            return Some(found);
+        }
+    }
+}
+
+async fn page(shared: &Shared, from: u64, bytes: usize) -> Option<Page<Bytes>> {
+    let call = shared
+        .store
+        .read(Log::Payloads, from, bytes, Duration::ZERO);
+    match timeout(ANSWER, call).await {
+        Ok(Ok(page)) => Some(page),
+        Ok(Err(error)) => {
+            event!("payload_failed", "offset" => from, "error" => error);
+            None
+        }
+        Err(_) => {
+            event!("payload_unanswered", "offset" => from);
+            None
+        }
+    }
+}
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -15,6 +15,7 @@
 use super::edge::{Cloud, Dialect, Log, Store};
 use super::events::{self, event};
 use super::metrics::Metrics;
+use super::payloads::Payloads;
 use super::settings::InstanceSettings;
 use super::{Contacts, Shared, beat, directory, follow, leases};
 use crate::boot::Boot;
@@ -98,18 +99,17 @@
     spawn_local(follow::servers(Rc::clone(&shared)));
     spawn_local(follow::ledger(Rc::clone(&shared)));
     let call_bytes = shared.settings.call_bytes;
-    let texts = shared.text_writer.clone();
-    spawn_local(texts.run(
-        Rc::clone(&shared.store),
-        shared.incarnation.clone(),
-        call_bytes,
-    ));
-    let writer = shared.writer.clone();
-    spawn_local(writer.run(
-        Rc::clone(&shared.store),
-        shared.incarnation.clone(),
-        call_bytes,
-    ));
+    for writer in [
+        &shared.writer,
+        &shared.payloads.writer,
+        &shared.draft_writer,
+    ] {
+        spawn_local(writer.clone().run(
+            Rc::clone(&shared.store),
+            shared.incarnation.clone(),
+            call_bytes,
+        ));
+    }
     spawn_local(beat::run(Rc::clone(&shared)));
     spawn_local(leases::run(Rc::clone(&shared)));
     spawn_local(Driver::new(Rc::clone(&shared)).run());
@@ -132,8 +132,8 @@
 fn shared(settings: InstanceSettings, platform: Platform) -> Result<Rc<Shared>, StartError> {
     Ok(Rc::new(Shared {
         writer: Writer::new(Log::Ledger, settings.record_bytes),
-        text_writer: Writer::new(Log::Texts, settings.record_bytes),
-        texts: RefCell::default(),
+        payloads: Payloads::new(Writer::new(Log::Payloads, settings.record_bytes)),
+        draft_writer: Writer::new(Log::Drafts, settings.record_bytes),
         settings,
         incarnation: Incarnation(random_id()),
         store: platform.store,
@@ -213,7 +213,8 @@
     loop {
         sleep(LOOK).await;
         let now = Boot::now();
-        let idle = shared.active.get() == 0 && shared.writer.is_idle();
+        let written = shared.writer.is_idle() && shared.payloads.writer.is_idle();
+        let idle = shared.active.get() == 0 && written;
         if now >= last || (now >= expected && idle) {
             break;
         }
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -10,8 +10,6 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::ledger::record::Draft;
-
 /// A request whose answer scores a finished sample.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Scorer {
@@ -25,25 +23,48 @@
     pub body: Bytes,
 }
 
-/// A sample to make.
+/// A sample to make, as every instance knows it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Item {
     /// Id, which is also the id of its request.
     pub id: String,
-    /// Path of its request.
-    pub path: String,
-    /// Headers of its request.
-    pub headers: Vec<(String, String)>,
-    /// Body of its request.
-    pub body: Bytes,
     /// Group of samples that share a prompt.
     pub group: String,
     /// Estimate of its output in tokens; 0 if there is none.
     pub hint: u64,
-    /// What scores it.
+}
+
+/// The request of an item, which only its run needs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Content {
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// What scores the sample.
     pub scorer: Option<Scorer>,
 }
 
+/// Where a payload stands in the log of payloads.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Extent {
+    /// Offset of its first record.
+    pub offset: u64,
+    /// Length in bytes as it was encoded.
+    pub bytes: usize,
+}
+
+/// Contents of a job's items from one of them on, up to the next part.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Part {
+    /// Position of the first item.
+    pub first: usize,
+    /// Where the contents stand.
+    pub extent: Extent,
+}
+
 /// A job as it was accepted.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct JobRecord {
@@ -65,6 +86,18 @@
     pub group_target: usize,
     /// Its items in the trainer's order.
     pub items: Vec<Item>,
+    /// The items' contents, in the same order.
+    pub parts: Vec<Part>,
+}
+
+impl JobRecord {
+    /// The part that holds an item's content, and the content's position there.
+    #[must_use]
+    pub fn part(&self, at: usize) -> Option<(Extent, usize)> {
+        let after = self.parts.partition_point(|part| part.first <= at);
+        let part = self.parts.get(after.checked_sub(1)?)?;
+        Some((part.extent, at - part.first))
+    }
 }
 
 /// How an item ended.
@@ -76,31 +109,6 @@
     Dead,
 }
 
-/// Where the text of a result is.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Text {
-    /// Here.
-    Here(String),
-    /// In the log of texts.
-    Apart {
-        /// Offset of its first record.
-        offset: u64,
-        /// Length in bytes.
-        bytes: usize,
-    },
-}
-
-impl Text {
-    /// Length in bytes.
-    #[must_use]
-    pub fn bytes(&self) -> usize {
-        match self {
-            Self::Here(text) => text.len(),
-            Self::Apart { bytes, .. } => *bytes,
-        }
-    }
-}
-
 /// The result of an item.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Listed {
@@ -108,8 +116,8 @@
     pub item: String,
     /// How it ended.
     pub end: ItemEnd,
-    /// The data of its events, one a line.
-    pub text: Text,
+    /// The data of its events, one a line; none if it was given up.
+    pub text: Option<Extent>,
     /// Weight versions that made it.
     pub versions: Vec<u64>,
     /// Signature of the scorer's answer.
@@ -133,10 +141,10 @@
 }
 
 impl Job {
-    /// The item of an id.
+    /// Position of an item.
     #[must_use]
-    pub fn item(&self, id: &str) -> Option<&Item> {
-        self.index.get(id).map(|at| &self.record.items[*at])
+    pub fn position(&self, id: &str) -> Option<usize> {
+        self.index.get(id).copied()
     }
 
     /// Whether nothing is left to do.
@@ -146,25 +154,12 @@
     }
 }
 
-/// The text of an item as far as the log has it.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Saved {
-    /// Data of each event.
-    pub data: Vec<String>,
-    /// Id of the last event.
-    pub last: u64,
-    /// Weight versions that made it.
-    pub versions: Vec<u64>,
-}
-
 /// All jobs that the log holds.
 #[derive(Debug, Default)]
 pub struct Jobs {
     known: HashMap<String, Job>,
     /// The job that first held an item.
     first: HashMap<String, String>,
-    /// Unfinished texts by item.
-    saved: HashMap<String, Saved>,
     accepted: u64,
 }
 
@@ -198,33 +193,10 @@
             return;
         };
         if job.index.contains_key(&result.item) && job.done.insert(result.item.clone()) {
-            self.saved.remove(&result.item);
             job.listed.push(Rc::new(result));
         }
     }
 
-    /// Saves a part of an item's text; one that does not follow what is saved is passed over.
-    pub fn save(&mut self, draft: Draft) {
-        if !self.first.contains_key(&draft.item) {
-            return;
-        }
-        let saved = self.saved.entry(draft.item).or_default();
-        if draft.from == 0 {
-            saved.data.clear();
-        } else if draft.from != saved.data.len() {
-            return;
-        }
-        saved.data.extend(draft.data);
-        saved.last = draft.last;
-        saved.versions = draft.versions;
-    }
-
-    /// The text of an item as far as it was saved.
-    #[must_use]
-    pub fn saved(&self, item: &str) -> Option<&Saved> {
-        self.saved.get(item)
-    }
-
     /// Ends a job.
     pub fn end(&mut self, job: &str) {
         if let Some(job) = self.known.get_mut(job) {
@@ -267,7 +239,5 @@
         self.known.retain(|_, job| !is_old(job));
         let known = &self.known;
         self.first.retain(|_, job| known.contains_key(job));
-        let first = &self.first;
-        self.saved.retain(|item, _| first.contains_key(item));
     }
 }
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -94,9 +94,6 @@
             }
             Record::Job(job) => self.jobs.accept(*job),
             Record::Listed { job, result } => self.jobs.list(&job, result),
-            Record::Draft(draft) => self.jobs.save(draft),
-            // It stands in another log.
-            Record::Text(_) => {}
             Record::End { job } => self.jobs.end(&job),
             Record::Window { window, counts } => {
                 self.windows.entry(window).or_insert((counts, false));
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -1,13 +1,15 @@
 //! Records of the instances' log, and their framing.
 
 use std::collections::BTreeMap;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use derive_more::{AsRef, Display, From};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
-use crate::job::{JobRecord, Listed};
+use crate::job::{Content, JobRecord, Listed};
 
 /// One start of an instance's process.
 #[derive(
@@ -55,12 +57,14 @@
     pub counts: BTreeMap<u64, Counts>,
 }
 
-/// Events of an item's text, for whoever makes it next.
+/// Events of an item's text, for whoever makes it next; a record of the log of drafts.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Draft {
+    /// Fencing number of the lease under which they were made.
+    pub fence: u64,
     /// The item.
     pub item: String,
-    /// Events that were saved before; 0 starts the text anew.
+    /// Events that were saved before under this lease; 0 starts the text anew.
     pub from: usize,
     /// Data of the events since then.
     pub data: Vec<String>,
@@ -70,7 +74,16 @@
     pub versions: Vec<u64>,
 }
 
-/// A record of the log.
+/// A record of the log of payloads: what is too large for every instance to read.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Payload {
+    /// The text of a result.
+    Text(String),
+    /// The contents of a job's items.
+    Contents(Vec<Content>),
+}
+
+/// A record of the ledger.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Record {
     /// A sign of life.
@@ -102,10 +115,6 @@
         /// The result.
         result: Listed,
     },
-    /// The text of a result; it stands in the log of texts.
-    Text(String),
-    /// Saves what was made of an item's text since it was saved last.
-    Draft(Draft),
     /// Ends a job.
     End {
         /// The job.
@@ -135,7 +144,7 @@
 /// # Panics
 /// Never: a record has no type that CBOR cannot hold.
 #[must_use]
-pub fn encode(record: &Record, limit: usize) -> Vec<Bytes> {
+pub fn encode<T: Serialize>(record: &T, limit: usize) -> Vec<Bytes> {
     let mut body = Vec::new();
     ciborium::into_writer(record, &mut body).expect("records encode into memory");
     let size = limit.max(2) - 1;
@@ -149,18 +158,28 @@
     body.chunks(size).enumerate().map(piece).collect()
 }
 
-/// Puts pieces together and decodes records.
-#[derive(Clone, Debug, Default)]
-pub struct Decoder {
+/// Puts pieces together and decodes the records of one log.
+#[derive(Clone, Debug)]
+pub struct Decoder<T> {
     pending: Vec<u8>,
+    record: PhantomData<T>,
+}
+
+impl<T> Default for Decoder<T> {
+    fn default() -> Self {
+        Self {
+            pending: Vec::new(),
+            record: PhantomData,
+        }
+    }
 }
 
-impl Decoder {
+impl<T: DeserializeOwned> Decoder<T> {
     /// Takes the next piece; gives a record when it is whole.
     ///
     /// # Errors
     /// The piece or the record does not decode; it is passed over.
-    pub fn push(&mut self, piece: &[u8]) -> Result<Option<Record>, String> {
+    pub fn push(&mut self, piece: &[u8]) -> Result<Option<T>, String> {
         let Some((mark, chunk)) = piece.split_first() else {
             return Err("an empty record".to_owned());
         };
--- a/src/ledger/writer.rs
+++ b/src/ledger/writer.rs
@@ -6,10 +6,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::Serialize;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{sleep, timeout};
 
-use super::record::{Incarnation, Record, encode};
+use super::record::{Incarnation, encode};
 use crate::boot::Boot;
 use crate::instance::edge::{Batch, Log, Store, StoreError};
 use crate::instance::events::event;
@@ -26,6 +27,8 @@
     pub sent: Boot,
     /// Offset of its first piece.
     pub offset: u64,
+    /// Bytes of its pieces.
+    pub bytes: usize,
 }
 
 /// The acknowledgement of a record, once there is one.
@@ -64,8 +67,8 @@
 /// How a record's append ended, from what its writer can know.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
-    /// Acknowledged; its batch was first sent at this instant.
-    Written(Boot),
+    /// Acknowledged.
+    Written(Ack),
     /// It was taken from the queue before it was sent.
     Unsent,
     /// It may have been written, or may yet be.
@@ -86,11 +89,11 @@
 
     /// Queues a record. It is written whether or not anybody waits for it.
     #[must_use]
-    pub fn push(&self, record: &Record) -> Written {
+    pub fn push<T: Serialize>(&self, record: &T) -> Written {
         self.enqueue(record).1
     }
 
-    fn enqueue(&self, record: &Record) -> (u64, Written) {
+    fn enqueue<T: Serialize>(&self, record: &T) -> (u64, Written) {
         let (done, written) = oneshot::channel();
         let pieces = encode(record, self.record_bytes);
         let mut queue = self.queue.borrow_mut();
@@ -108,11 +111,11 @@
     /// Queues a record and waits for its acknowledgement until `deadline`.
     ///
     /// Past the deadline the record is taken back if it was not sent yet.
-    pub async fn write(&self, record: &Record, deadline: Boot) -> Outcome {
+    pub async fn write<T: Serialize>(&self, record: &T, deadline: Boot) -> Outcome {
         let (number, mut written) = self.enqueue(record);
         let left = deadline.left(Boot::now());
         if let Ok(Ok(ack)) = timeout(left, &mut written).await {
-            return Outcome::Written(ack.sent);
+            return Outcome::Written(ack);
         }
         let mut queue = self.queue.borrow_mut();
         let before = queue.waiting.len();
@@ -179,6 +182,7 @@
             sequence = batch.sequence + 1;
             self.queue.borrow_mut().stuck = None;
             for queued in taken {
+                ack.bytes = queued.pieces.iter().map(Bytes::len).sum();
                 // Whoever gave up waiting does not need the answer.
                 let _ = queued.done.send(ack);
                 ack.offset += queued.pieces.len() as u64;
@@ -197,6 +201,7 @@
                 return Ack {
                     sent: first,
                     offset,
+                    bytes: 0,
                 };
             }
             Ok(Err(StoreError::Sequence { expected })) => {
--- /dev/null
+++ b/tests/instance/drafts.rs
@@ -0,0 +1,88 @@
+//! The fold of the log of drafts: a text is put together from one leader's parts only.
+
+use std::time::Duration;
+
+use basillead::ledger::drafts::{Ages, SavedDrafts};
+use basillead::ledger::record::Draft;
+use proptest::prelude::*;
+
+use crate::at;
+
+fn part(fence: u64, from: usize, data: &[&str], versions: &[u64]) -> Draft {
+    Draft {
+        fence,
+        item: "a".to_owned(),
+        from,
+        data: data.iter().map(|&data| data.to_owned()).collect(),
+        last: (from + data.len()) as u64,
+        versions: versions.to_vec(),
+    }
+}
+
+#[test]
+fn drafts_follow_each_other() {
+    let mut drafts = SavedDrafts::default();
+    drafts.save(part(1, 2, &["lost"], &[1]));
+    assert!(drafts.is_empty(), "a part without a beginning");
+    drafts.save(part(1, 0, &["one", "two"], &[1]));
+    drafts.save(part(1, 2, &["three"], &[1, 2]));
+    // A part that does not follow.
+    drafts.save(part(1, 2, &["other"], &[1]));
+    let saved = drafts.take("a").expect("a saved text");
+    assert_eq!(saved.data, ["one", "two", "three"]);
+    assert_eq!((saved.last, saved.versions.as_slice()), (3, &[1, 2][..]));
+    assert!(drafts.take("a").is_none(), "a text is gone on with once");
+}
+
+#[test]
+fn drafts_begin_anew() {
+    let mut drafts = SavedDrafts::default();
+    drafts.save(part(1, 0, &["one", "two"], &[1]));
+    drafts.save(part(1, 0, &["anew"], &[3]));
+    let saved = drafts.take("a").expect("a saved text");
+    assert_eq!((saved.data.len(), saved.versions), (1, vec![3]));
+}
+
+#[test]
+fn drafts_former_leader_late() {
+    let mut drafts = SavedDrafts::default();
+    drafts.save(part(1, 0, &["one", "two"], &[1]));
+    // The successor went on after two events, and saves its whole text.
+    drafts.save(part(2, 0, &["one", "two", "three"], &[1]));
+    drafts.save(part(1, 2, &["THREE", "FOUR"], &[1]));
+    drafts.save(part(1, 0, &["ONE"], &[1]));
+    drafts.save(part(2, 3, &["four"], &[1]));
+    let saved = drafts.take("a").expect("a saved text");
+    assert_eq!(saved.data, ["one", "two", "three", "four"]);
+}
+
+#[test]
+fn ages_old_drafts_expire() {
+    let kept = Duration::from_secs(30);
+    let mut ages = Ages::default();
+    ages.note(at(1000), 5);
+    ages.note(at(2000), 9);
+    ages.note(at(20_000), 40);
+    assert_eq!(ages.expired(at(31_000), kept), None);
+    assert_eq!(ages.expired(at(33_000), kept), Some(9));
+    assert_eq!(ages.expired(at(33_000), kept), None, "once");
+    assert_eq!(ages.expired(at(60_000), kept), Some(40));
+}
+
+proptest! {
+    /// Whatever parts of two leaders come in which order, a saved text is the beginning of
+    /// what one of them made.
+    #[test]
+    fn drafts_generated_parts(parts in prop::collection::vec((1_u64..3, 0_usize..4, 1_usize..4), 1..20)) {
+        let mut drafts = SavedDrafts::default();
+        for (fence, from, count) in parts {
+            let data: Vec<String> = (from..from + count).map(|n| format!("{fence}-{n}")).collect();
+            let data: Vec<&str> = data.iter().map(String::as_str).collect();
+            drafts.save(part(fence, from, &data, &[1]));
+        }
+        if let Some(saved) = drafts.take("a") {
+            let whole = (0..saved.data.len()).map(|n| format!("{}-{n}", saved.fence));
+            prop_assert_eq!(saved.data, whole.collect::<Vec<_>>());
+        }
+    }
+}
--- a/tests/instance/fold.rs
+++ b/tests/instance/fold.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use basillead::job::{Item, ItemEnd, JobRecord, Jobs, Listed, Text};
+use basillead::job::{Extent, Item, ItemEnd, JobRecord, Jobs, Listed, Part};
 use basillead::ledger::fold::Fold;
-use basillead::ledger::record::{Beat, Decoder, Draft, Incarnation, Record, encode};
-use bytes::Bytes;
+use basillead::ledger::record::{Beat, Decoder, Incarnation, Record, encode};
 use proptest::prelude::*;
 
 use crate::at;
@@ -13,12 +12,8 @@
 pub(crate) fn item(id: &str, group: &str, hint: u64) -> Item {
     Item {
         id: id.to_owned(),
-        path: "/p".to_owned(),
-        headers: Vec::new(),
-        body: Bytes::from_static(b"x"),
         group: group.to_owned(),
         hint,
-        scorer: None,
     }
 }
 
@@ -33,14 +28,15 @@
         min_version: 1,
         group_target: target,
         items,
+        parts: Vec::new(),
     }
 }
 
-pub(crate) fn listed(item: &str, output: &str) -> Listed {
+pub(crate) fn listed(item: &str, offset: u64) -> Listed {
     Listed {
         item: item.to_owned(),
         end: ItemEnd::Complete,
-        text: Text::Here(output.to_owned()),
+        text: Some(Extent { offset, bytes: 9 }),
         versions: vec![1],
         score: None,
     }
@@ -65,12 +61,13 @@
 fn jobs_first_result_counts() {
     let mut jobs = Jobs::default();
     jobs.accept(job("j", 1, vec![item("a", "g", 0), item("b", "g", 0)]));
-    jobs.list("j", listed("b", "one"));
-    jobs.list("j", listed("b", "two"));
-    jobs.list("j", listed("other", "three"));
+    jobs.list("j", listed("b", 1));
+    jobs.list("j", listed("b", 2));
+    jobs.list("j", listed("other", 3));
     let known = jobs.get("j").expect("the job");
     assert_eq!(known.listed.len(), 1);
-    assert_eq!(known.listed[0].text, Text::Here("one".to_owned()));
+    let text = known.listed[0].text.expect("a text");
+    assert_eq!(text.offset, 1);
     // A repeated submission changes nothing that is listed.
     jobs.accept(job("j", 1, vec![item("c", "g", 0)]));
     assert_eq!(jobs.get("j").expect("the job").record.items.len(), 2);
@@ -153,7 +150,7 @@
         one.accept(job("j", 1, names.iter().map(|name| item(name, "g", 0)).collect()));
         two.accept(job("j", 1, items));
         for (at, (pick, owner)) in picks.iter().enumerate() {
-            let result = listed(names[*pick], &format!("owner {owner}"));
+            let result = listed(names[*pick], u64::from(*owner));
             one.list("j", result.clone());
             two.list("j", result);
             if at % 3 == 0 {
@@ -170,27 +167,17 @@
 }
 
 #[test]
-fn drafts_follow_each_other() {
-    let draft = |from: usize, data: &[&str], last: u64, versions: &[u64]| Draft {
-        item: "a".to_owned(),
-        from,
-        data: data.iter().map(|&data| data.to_owned()).collect(),
-        last,
-        versions: versions.to_vec(),
+fn parts_hold_contents() {
+    let part = |first: usize, offset: u64| Part {
+        first,
+        extent: Extent { offset, bytes: 9 },
     };
-    let mut jobs = Jobs::default();
-    jobs.save(draft(0, &["lost"], 1, &[1]));
-    assert!(jobs.saved("a").is_none(), "no job has the item");
-    jobs.accept(job("j", 1, vec![item("a", "g", 0)]));
-    jobs.save(draft(0, &["one", "two"], 2, &[1]));
-    jobs.save(draft(2, &["three"], 3, &[1, 2]));
-    // A former holder's part that does not follow.
-    jobs.save(draft(2, &["other"], 3, &[1]));
-    let saved = jobs.saved("a").expect("a saved text");
-    assert_eq!(saved.data, ["one", "two", "three"]);
-    assert_eq!((saved.last, saved.versions.as_slice()), (3, &[1, 2][..]));
-    jobs.save(draft(0, &["anew"], 1, &[3]));
-    assert_eq!(jobs.saved("a").expect("a saved text").versions, [3]);
-    jobs.list("j", listed("a", "text"));
-    assert!(jobs.saved("a").is_none());
+    let mut job = job("j", 1, vec![item("a", "g", 0)]);
+    assert_eq!(job.part(0), None, "no part has it");
+    job.parts = vec![part(0, 10), part(2, 11)];
+    let place = |at: usize| job.part(at).map(|(extent, at)| (extent.offset, at));
+    assert_eq!(
+        [place(0), place(1), place(2), place(4)],
+        [Some((10, 0)), Some((10, 1)), Some((11, 0)), Some((11, 2))]
+    );
 }
--- a/tests/instance/rounds.rs
+++ b/tests/instance/rounds.rs
@@ -46,7 +46,7 @@
         1,
         vec![item("b1", "b", 900), item("a1", "a", 10)],
     ));
-    jobs.list("j1", listed("a1", "x"));
+    jobs.list("j1", listed("a1", 1));
     jobs.end("j1");
     jobs.accept(job(
         "j2",
--- a/tests/instance/writer.rs
+++ b/tests/instance/writer.rs
@@ -53,12 +53,18 @@
         })
     }
 
-    fn ledger(&self, _: u64, _: Duration) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>> {
+    fn read(
+        &self,
+        _: Log,
+        _: u64,
+        _: usize,
+        _: Duration,
+    ) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>> {
         unimplemented!("the writer does not read")
     }
 
-    fn texts(&self, _: u64) -> LocalBoxFuture<'_, Result<Page<Bytes>, StoreError>> {
-        unimplemented!("the writer does not read")
+    fn trim(&self, _: Log, _: u64) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        unimplemented!("the writer deletes nothing")
     }
 
     fn operator(
