Make samples anew on newer weights when their round will end without them

Cause: a trainer ends a round with most of its groups and submits the rest again with a later one, which it waits for. A trainer that once fell behind, as after a closing, could not catch up.

Change: items that outlast their round, by their estimates and what was made of them, are made anew as soon as weights that the next round takes have room; the next round goes on with that text.

Test: renewal_against_none replays rounds with a long tail.

--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -87,6 +87,21 @@
         self.0.borrow_mut().remove(item);
     }
 
+    /// Events that were made of an item.
+    pub(super) fn events(&self, item: &str) -> usize {
+        let drafts = self.0.borrow();
+        drafts
+            .get(item)
+            .map_or(0, |draft| draft.sample.borrow().data.len())
+    }
+
+    /// Oldest weight version that made events of an item.
+    pub(super) fn oldest(&self, item: &str) -> Option<u64> {
+        let drafts = self.0.borrow();
+        let sample = drafts.get(item)?.sample.borrow();
+        sample.versions.iter().min().copied()
+    }
+
     pub(super) fn forget(&self, now: Boot) {
         let mut drafts = self.0.borrow_mut();
         drafts.retain(|_, draft| now < draft.used.get() + DRAFT_KEPT);
@@ -175,6 +190,7 @@
             return;
         }
         draft.whole.set(true);
+        driver.note_length(&task.model, &task.item, draft.sample.borrow().data.len());
         let key = (task.job.clone(), task.item.id.clone());
         if let Some(run) = driver.runs.borrow_mut().get_mut(&key) {
             run.server = None;
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -1,18 +1,20 @@
 //! Makes the samples of the jobs whose service this instance leads.
 
 pub mod assign;
+pub mod carry;
 pub mod events;
 pub mod item;
 mod make;
 pub mod moves;
 mod moving;
+mod renew;
 pub mod sample;
 mod start;
 mod takeover;
 pub mod waves;
 pub mod weights;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -30,6 +32,8 @@
 use crate::ledger::drafts::SavedDrafts;
 use crate::ledger::record::Subject;
 use make::Drafts;
+use moving::Board;
+use renew::Lengths;
 use takeover::{Saving, Takeover};
 use weights::Weights;
 
@@ -37,6 +41,8 @@
 const LOOK: Duration = Duration::from_millis(50);
 /// Time for which changes gather before they are looked at.
 const GATHER: Duration = Duration::from_millis(10);
+/// Time between two looks for items to be made anew: a few events of an engine.
+const RENEW_PACE: Duration = Duration::from_millis(100);
 /// Share of the newest event in a server's pace.
 const PACE_SHARE: f64 = 0.1;
 /// Pace of a server that has made no event lately, in seconds an event.
@@ -79,6 +85,12 @@
     /// How far services have been taken over.
     takeovers: RefCell<HashMap<String, Takeover>>,
     saving: RefCell<Saving>,
+    /// Oldest weight version of items that are made anew for a later job.
+    renewed: RefCell<HashMap<Key, u64>>,
+    /// When items to be made anew were looked for last.
+    looked: Cell<Boot>,
+    /// How long samples are, by model.
+    lengths: RefCell<HashMap<String, Lengths>>,
     /// The model that a server is kept for, by the server's id.
     kept: RefCell<BTreeMap<String, String>>,
 }
@@ -97,6 +109,9 @@
             saved_drafts: RefCell::default(),
             takeovers: RefCell::default(),
             saving: RefCell::default(),
+            renewed: RefCell::default(),
+            looked: Cell::default(),
+            lengths: RefCell::default(),
             kept: RefCell::default(),
         })
     }
@@ -123,7 +138,7 @@
                 };
                 if self.shared.leads(&Subject::Service(name.clone())) {
                     self.keep_models(name, &engine.models);
-                    moving::leave_slow(&self, name);
+                    self.rearrange(&deployment, name);
                     let waiting = if self.has_taken_over(name) {
                         start::due(&self, &deployment, name)
                     } else {
@@ -162,6 +177,27 @@
             .any(|route| route.single_version)
     }
 
+    /// Oldest weight version that may make an item.
+    fn min_version(&self, job: &Job, item: &str) -> u64 {
+        let key = (job.record.id.clone(), item.to_owned());
+        let renewed = self.renewed.borrow().get(&key).copied();
+        job.record.min_version.max(renewed.unwrap_or_default())
+    }
+
+    /// Moves running items of a service where they are made sooner, or for longer use.
+    fn rearrange(&self, deployment: &Deployment, name: &str) {
+        if self.shared.leaving.get().is_some() {
+            return;
+        }
+        let now = Boot::now();
+        let mut board = Board::new(self, name, now);
+        moving::leave_slow(self, &mut board, now);
+        if now >= self.looked.get() + RENEW_PACE {
+            self.looked.set(now);
+            self.renew(deployment, name, &mut board);
+        }
+    }
+
     /// The model that a server is kept for.
     fn model_of(&self, backend: &Backend) -> String {
         let kept = self.kept.borrow().get(&backend.id).cloned();
@@ -278,6 +314,7 @@
         let fold = self.shared.fold.borrow();
         let open = |job: &str| fold.jobs.get(job).is_some_and(|job| !job.is_finished());
         self.homes.borrow_mut().retain(|(job, _), _| open(job));
+        self.renewed.borrow_mut().retain(|(job, _), _| open(job));
         self.drafts.forget(Boot::now());
         let fleet = self.shared.fleet.borrow();
         self.places
--- a/src/drive/moves.rs
+++ b/src/drive/moves.rs
@@ -39,7 +39,7 @@
 }
 
 /// Takes a slot of the fastest seat that an item fits, if it is fast enough.
-fn take(seats: &mut [Seat], item: &Running, slowest: f64) -> bool {
+pub fn take(seats: &mut [Seat], item: &Running, slowest: f64) -> bool {
     let fits = |seat: &&mut Seat| {
         let version = seat.versions.get(item.model).copied().unwrap_or_default();
         seat.free > 0 && seat.pace <= slowest && version >= item.min_version.max(1)
--- a/src/drive/moving.rs
+++ b/src/drive/moving.rs
@@ -3,11 +3,14 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use super::moves::{Running, Seat, empties, faster};
+use super::moves::{Running, Seat, empties, faster, take};
 use super::{Driver, Key};
 use crate::boot::Boot;
 use crate::instance::edge::Backend;
 
+/// Slowdown from which on a server does not make items anew.
+const SLOW: f64 = 1.6;
+
 /// Running items of a service, and the servers with room.
 pub(super) struct Board {
     /// The running items, their state, and the servers that run them, by position.
@@ -78,12 +81,24 @@
             self.items.push(Running {
                 pace: paces[at],
                 since: *since,
-                min_version: job.record.min_version,
+                min_version: driver.min_version(job, &key.1),
                 model: *model,
             });
         }
     }
 
+    /// Has an item made anew by weights of version `min` or newer, if they have room.
+    pub(super) fn renew(&mut self, driver: &Driver, key: &Key, min: u64) {
+        let Some(at) = self.keys.iter().position(|known| known == key) else {
+            return;
+        };
+        self.items[at].min_version = min;
+        if take(&mut self.seats, &self.items[at], SLOW) {
+            driver.renewed.borrow_mut().insert(key.clone(), min);
+            driver.requeue(key, "newer weights");
+        }
+    }
+
     /// Whether the items of a server find room elsewhere; if so, they are moved.
     pub(super) fn empty(&mut self, driver: &Driver, server: &str) -> bool {
         let own: Vec<usize> = (0..self.items.len())
@@ -113,12 +128,7 @@
 }
 
 /// Moves items from slow servers to faster ones with room.
-pub(super) fn leave_slow(driver: &Driver, service: &str) {
-    if driver.shared.leaving.get().is_some() {
-        return;
-    }
-    let now = Boot::now();
-    let mut board = Board::new(driver, service, now);
+pub(super) fn leave_slow(driver: &Driver, board: &mut Board, now: Boot) {
     for at in faster(&board.items, &mut board.seats, now) {
         driver.requeue(&board.keys[at], "slow");
     }
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -61,7 +61,7 @@
         };
         let attempts = route.attempts.max(1);
         let fit = Fit {
-            min: job.record.min_version,
+            min: driver.min_version(job, &item.id),
             single: route.single_version,
         };
         if let Some(text) = earlier(&fold.jobs, job, &item.id, fit) {
@@ -71,7 +71,7 @@
             });
             continue;
         }
-        let Some(at) = seat(driver, &room, &mut known, job, waiting.at) else {
+        let Some(at) = seat(driver, &room, &mut known, job, waiting.at, fit.min) else {
             left.insert(job.record.model.clone());
             continue;
         };
@@ -152,6 +152,7 @@
     known: &mut HashMap<String, Vec<Seat<'a>>>,
     job: &Job,
     at: usize,
+    min: u64,
 ) -> Option<usize> {
     let model = &job.record.model;
     if !known.contains_key(model) {
@@ -161,7 +162,7 @@
     let home = homes
         .get(&key(job, &job.record.items[at].group))
         .map(String::as_str);
-    let at = place(known.get(model)?, home, job.record.min_version)?;
+    let at = place(known.get(model)?, home, min)?;
     for seats in known.values_mut() {
         seats[at].free -= 1;
     }
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of an instance on a platform, replayed without sockets.
 
 mod admit;
+mod carry;
 mod drafts;
 mod fleet;
 mod fold;
