Keep signs of life in a log of their own

Cause: the store takes the appends of a partition one after the other, and signs of life of all instances stood in the ledger: 9 instances made 12 appends a second, and a store 60 times slower takes four. Ruled out: the number of appends that a round needs; a leader sends one batch at a time.

Change: renewals of leases stay in the ledger, written by holders only; signs of life and usage counters go to a log of their own, whose old records are deleted.

--- a/src/drive/takeover.rs
+++ b/src/drive/takeover.rs
@@ -12,7 +12,8 @@
 use crate::instance::Shared;
 use crate::instance::edge::{Log, StoreError};
 use crate::instance::events::event;
-use crate::ledger::drafts::{Ages, SavedDrafts};
+use crate::ledger::ages::Ages;
+use crate::ledger::drafts::SavedDrafts;
 use crate::ledger::record::{Decoder, Draft, Subject};
 
 /// Time after which a new leader starts without the texts of the former one.
--- a/src/duty/usage.rs
+++ b/src/duty/usage.rs
@@ -81,17 +81,17 @@
     let end = (window + 1) * length;
     let since_end = Duration::from_millis(now.saturating_sub(end));
     let record = {
-        let contact = shared.contacts.borrow().ledger;
-        let fold = shared.fold.borrow();
+        let contact = shared.contacts.borrow().signs;
+        let members = shared.members.borrow();
         let seen = contact.seen.unwrap_or_default();
-        let mut alive = fold.alive(seen, contact.since, SILENCE);
+        let mut alive = members.alive(seen, contact.since, SILENCE);
         let behind = alive.any(|(_, member)| member.wall < end + millis(SETTLE));
         if !may_fix(since_end, behind, shared.settings.bounds.report_due) {
             return;
         }
         Record::Window {
             window,
-            counts: fold.counted(window),
+            counts: members.counted(window),
         }
     };
     // The fold shows the window once it is in the log; until then nothing is sent.
--- a/src/front/listen.rs
+++ b/src/front/listen.rs
@@ -96,7 +96,7 @@
         "jobs_open",
         fold.jobs.iter().filter(|job| !job.is_finished()).count(),
     );
-    set("instances_known", fold.members.len());
+    set("instances_known", shared.members.borrow().known.len());
     set("requests_active", shared.active.get());
     set(
         "connections_opened",
--- a/src/instance/directory.rs
+++ b/src/instance/directory.rs
@@ -6,7 +6,7 @@
 use super::Shared;
 use super::leases::SILENCE;
 use crate::boot::Boot;
-use crate::ledger::fold::Member;
+use crate::ledger::members::Member;
 
 /// Addresses in one answer at most.
 const ADDRESSES_MAX: usize = 64;
@@ -19,11 +19,11 @@
 #[must_use]
 pub fn addresses(shared: &Shared, zone: &str) -> Vec<SocketAddr> {
     let now = Boot::now();
-    let contact = shared.contacts.borrow().ledger;
-    let fold = shared.fold.borrow();
+    let contact = shared.contacts.borrow().signs;
+    let known = shared.members.borrow();
     let mut members: Vec<(&String, &Member)> = Vec::new();
     if let Some(seen) = contact.seen {
-        let alive = fold.alive(seen, contact.since, SILENCE);
+        let alive = known.alive(seen, contact.since, SILENCE);
         let ready = alive.filter(|(name, member)| member.ready && **name != shared.settings.name);
         members.extend(ready);
     }
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -52,8 +52,11 @@
 /// A log of the instances' own in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Log {
-    /// What every instance follows.
+    /// What every instance follows: jobs, results, leases.
     Ledger,
+    /// Signs of life, which every instance follows too. The store takes a partition's appends
+    /// one after the other, so those of all instances would hold up the ledger's.
+    Signs,
     /// Contents of jobs and texts of results, read by whoever needs them.
     Payloads,
     /// Unfinished texts, read by an instance that becomes a service's leader.
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -1,4 +1,4 @@
-//! Follows the three streams of the store by long polls.
+//! Follows the streams of the store by long polls.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use super::edge::{Log, OperatorNews, Page, ServerNews, StoreError};
 use super::events::event;
 use crate::boot::Boot;
-use crate::ledger::record::Decoder;
+use crate::ledger::record::{Decoder, Record, Sign};
 
 /// Time for which the store holds a read until there is something new.
 ///
@@ -20,6 +20,8 @@
 const ANSWER: Duration = Duration::from_millis(900);
 /// Pause between two reads of the log, so that records gather.
 const LEDGER_PACE: Duration = Duration::from_millis(40);
+/// Pause between two reads of the signs of life, which come all the time.
+const SIGNS_PACE: Duration = Duration::from_millis(400);
 /// Pause between two reads of the registry, whose entries change about every second.
 const SERVERS_PACE: Duration = Duration::from_millis(250);
 /// Pause after a read that failed.
@@ -197,7 +199,7 @@
 /// Follows the instances' log.
 pub async fn ledger(shared: Rc<Shared>) {
     let mut watch = Watch::new("ledger");
-    let mut decoder = Decoder::default();
+    let mut decoder = Decoder::<Record>::default();
     let mut next = 0;
     let started = Boot::now();
     let mut start = Some(Reading::default());
@@ -247,3 +249,39 @@
         }
     }
 }
+
+/// Follows the instances' signs of life.
+pub async fn signs(shared: Rc<Shared>) {
+    let mut watch = Watch::new("signs");
+    let mut decoder = Decoder::<Sign>::default();
+    let mut next = 0;
+    loop {
+        let sent = Boot::now();
+        match read(shared.store.read(Log::Signs, next, usize::MAX, HOLD)).await {
+            Ok(page) => {
+                watch.answered();
+                let now = Boot::now();
+                for (offset, piece) in page.items {
+                    match decoder.push(&piece) {
+                        Ok(Some(sign)) => shared.members.borrow_mut().apply(sign, now),
+                        Ok(None) => {}
+                        Err(error) => event!("record", "offset" => offset, "error" => error),
+                    }
+                }
+                next = page.next;
+                if page.next >= page.end {
+                    shared.contacts.borrow_mut().signs.note(sent, now);
+                    sleep(SIGNS_PACE).await;
+                }
+            }
+            Err(StoreError::Expired { first }) => {
+                decoder = Decoder::default();
+                next = first;
+            }
+            Err(error) => {
+                watch.failed(&error);
+                sleep(FAILED_PACE).await;
+            }
+        }
+    }
+}
--- a/src/instance/leases.rs
+++ b/src/instance/leases.rs
@@ -62,7 +62,7 @@
         if lease.is_some_and(|lease| lease.incarnation == shared.incarnation && !lease.released) {
             return;
         }
-        let stagger = stagger(shared, &subject, seen, contact.since);
+        let stagger = stagger(shared, &subject);
         let span = shared.settings.bounds.lease;
         if !may_claim(
             lease,
@@ -100,17 +100,19 @@
     }
     if shared.leads(&subject) {
         event!("lease_won", "subject" => subject);
-        shared.beat.notify_one();
+        shared.renew.notify_one();
     }
 }
 
 /// Keeps claimants apart: the instance with the largest share of a core claims first, and
 /// among equals the one that ranks first for the subject.
-fn stagger(shared: &Shared, subject: &Subject, seen: Boot, since: Boot) -> Duration {
-    let fold = shared.fold.borrow();
+fn stagger(shared: &Shared, subject: &Subject) -> Duration {
+    let contact = shared.contacts.borrow().signs;
+    let seen = contact.seen.unwrap_or_default();
+    let members = shared.members.borrow();
     let place = |capacity: u32, name: &str| (Reverse(capacity), rank(subject, name));
     let own = place(shared.settings.capacity, &shared.settings.name);
-    let alive = fold.alive(seen, since, SILENCE);
+    let alive = members.alive(seen, contact.since, SILENCE);
     let before = alive.filter(|(name, member)| member.ready && place(member.capacity, name) < own);
     let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
     STAGGER.saturating_mul(before).min(STAGGER_MAX)
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,6 +1,5 @@
 //! One process of an instance on a platform: callers' requests, jobs, and duties under leases.
 
-pub mod beat;
 pub mod contact;
 pub mod deployment;
 pub mod directory;
@@ -13,6 +12,7 @@
 pub mod payloads;
 pub mod run;
 pub mod settings;
+pub mod signs;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -23,6 +23,7 @@
 
 use crate::boot::Boot;
 use crate::ledger::fold::Fold;
+use crate::ledger::members::Members;
 use crate::ledger::record::{Counts, Incarnation, Subject};
 use crate::ledger::writer::Writer;
 use crate::relay::choose::{Candidate, choose};
@@ -46,8 +47,10 @@
     pub operator: Contact,
     /// The registry of backend servers.
     pub servers: Contact,
-    /// The instances' log.
+    /// The ledger.
     pub ledger: Contact,
+    /// The log of signs.
+    pub signs: Contact,
 }
 
 /// State that all tasks of the process share.
@@ -69,16 +72,22 @@
     pub named: RefCell<BTreeMap<String, u64>>,
     /// Backend servers.
     pub fleet: RefCell<Fleet>,
-    /// The state folded from the instances' log.
+    /// The state folded from the ledger.
     pub fold: RefCell<Fold>,
+    /// The instances, from the log of signs.
+    pub members: RefCell<Members>,
     /// Contact with the store.
     pub contacts: RefCell<Contacts>,
     /// Told when the fold, the fleet, the named versions or the configuration changed.
     pub changed: Notify,
     /// Told when a sign of life is due at once.
-    pub beat: Notify,
-    /// Appends to the instances' log.
+    pub sign: Notify,
+    /// Told when a renewal is due at once.
+    pub renew: Notify,
+    /// Appends to the ledger.
     pub writer: Writer,
+    /// Appends to the log of signs.
+    pub sign_writer: Writer,
     /// Contents of jobs and texts of results.
     pub payloads: Payloads,
     /// Appends to the log of drafts.
@@ -89,8 +98,8 @@
     pub load: Load,
     /// Requests that began to run, by usage window and tenant.
     pub usage: RefCell<BTreeMap<u64, Counts>>,
-    /// When the latest signs of life were made, by number.
-    pub beats: RefCell<BTreeMap<u64, Boot>>,
+    /// When the latest renewals were made, by number.
+    pub renewals: RefCell<BTreeMap<u64, Boot>>,
     /// Since when the process has been leaving.
     pub leaving: Cell<Option<Boot>>,
     /// Callers' requests under way.
@@ -139,7 +148,7 @@
         let fold = self.fold.borrow();
         let lease = fold.leases.get(subject)?;
         // The log confirms a renewal only by showing it before any other claim.
-        let renewed = *self.beats.borrow().get(&lease.renewal?)?;
+        let renewed = *self.renewals.borrow().get(&lease.renewal?)?;
         let span = self.settings.bounds.lease;
         let held = crate::ledger::lease::is_held(lease, &self.incarnation, renewed, now, span);
         held.then(|| Holder {
@@ -183,7 +192,7 @@
         let Some(service) = service else {
             return 1;
         };
-        let members = self.fold.borrow().members.len().max(1);
+        let members = self.members.borrow().known.len().max(1);
         let share = service.connections / (members + 1);
         if service.engine.is_some() {
             service.connections / 2
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -17,7 +17,7 @@
 use super::metrics::Metrics;
 use super::payloads::Payloads;
 use super::settings::InstanceSettings;
-use super::{Contacts, Shared, beat, directory, follow, leases};
+use super::{Contacts, Shared, directory, follow, leases, signs};
 use crate::boot::Boot;
 use crate::drive::Driver;
 use crate::duty::{scale, usage};
@@ -98,19 +98,23 @@
     spawn_local(follow::operator(Rc::clone(&shared)));
     spawn_local(follow::servers(Rc::clone(&shared)));
     spawn_local(follow::ledger(Rc::clone(&shared)));
+    spawn_local(follow::signs(Rc::clone(&shared)));
     let call_bytes = shared.settings.call_bytes;
-    for writer in [
+    let writers = [
         &shared.writer,
+        &shared.sign_writer,
         &shared.payloads.writer,
         &shared.draft_writer,
-    ] {
+    ];
+    for writer in writers {
         spawn_local(writer.clone().run(
             Rc::clone(&shared.store),
             shared.incarnation.clone(),
             call_bytes,
         ));
     }
-    spawn_local(beat::run(Rc::clone(&shared)));
+    spawn_local(signs::sign(Rc::clone(&shared)));
+    spawn_local(signs::renew(Rc::clone(&shared)));
     spawn_local(leases::run(Rc::clone(&shared)));
     spawn_local(Driver::new(Rc::clone(&shared)).run());
     spawn_local(prune(Rc::clone(&shared)));
@@ -132,6 +136,7 @@
 fn shared(settings: InstanceSettings, platform: Platform) -> Result<Rc<Shared>, StartError> {
     Ok(Rc::new(Shared {
         writer: Writer::new(Log::Ledger, settings.record_bytes),
+        sign_writer: Writer::new(Log::Signs, settings.record_bytes),
         payloads: Payloads::new(Writer::new(Log::Payloads, settings.record_bytes)),
         draft_writer: Writer::new(Log::Drafts, settings.record_bytes),
         settings,
@@ -143,13 +148,15 @@
         named: RefCell::default(),
         fleet: RefCell::default(),
         fold: RefCell::new(Fold::default()),
+        members: RefCell::default(),
         contacts: RefCell::new(Contacts::default()),
         changed: Notify::new(),
-        beat: Notify::new(),
+        sign: Notify::new(),
+        renew: Notify::new(),
         pool: Pool::default(),
         load: Load::default(),
         usage: RefCell::default(),
-        beats: RefCell::default(),
+        renewals: RefCell::default(),
         leaving: Cell::new(None),
         active: Cell::new(0),
         metrics: Metrics::new().context(MetricsSnafu)?,
@@ -194,8 +201,10 @@
         let kept = shared.settings.bounds.job_kept + JOB_MARGIN;
         let mut fold = shared.fold.borrow_mut();
         fold.jobs.prune(unix_ms(), kept);
-        let seen = shared.contacts.borrow().ledger.seen.unwrap_or_default();
-        fold.members
+        let seen = shared.contacts.borrow().signs.seen.unwrap_or_default();
+        let mut members = shared.members.borrow_mut();
+        members
+            .known
             .retain(|_, member| member.heard + MEMBER_KEPT >= seen);
     }
 }
@@ -207,7 +216,7 @@
     event!("stop", "active" => shared.active.get());
     // The driver hands its jobs over and gives the leases up.
     shared.changed.notify_waiters();
-    shared.beat.notify_one();
+    shared.sign.notify_one();
     let last = now + shared.settings.bounds.grace.saturating_sub(END_MARGIN);
     let expected = (now + directory::TTL * KEPT_FOR).min(last);
     loop {
--- /dev/null
+++ b/src/ledger/ages.rs
@@ -0,0 +1,29 @@
+//! Ages of a log's records, so that old ones can be deleted.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::boot::Boot;
+
+/// When records were written, and where they stand.
+#[derive(Clone, Debug, Default)]
+pub struct Ages(VecDeque<(Boot, u64)>);
+
+impl Ages {
+    /// Notes that the record at an offset, and all before it, were written by `now`.
+    pub fn note(&mut self, now: Boot, offset: u64) {
+        self.0.push_back((now, offset));
+    }
+
+    /// Offset before which all records are older than `kept`; forgets their ages.
+    pub fn expired(&mut self, now: Boot, kept: Duration) -> Option<u64> {
+        let mut before = None;
+        while let Some((at, offset)) = self.0.front().copied()
+            && at + kept < now
+        {
+            before = Some(offset);
+            self.0.pop_front();
+        }
+        before
+    }
+}
--- a/src/ledger/drafts.rs
+++ b/src/ledger/drafts.rs
@@ -1,10 +1,8 @@
 //! The fold of the log of drafts: unfinished texts that a new leader goes on with.
 
-use std::collections::{HashMap, VecDeque};
-use std::time::Duration;
+use std::collections::HashMap;
 
 use super::record::Draft;
-use crate::boot::Boot;
 
 /// The text of an item as far as it was saved.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -64,26 +62,3 @@
         self.0.is_empty()
     }
 }
-
-/// When the drafts of a leader were written, and where they stand.
-#[derive(Clone, Debug, Default)]
-pub struct Ages(VecDeque<(Boot, u64)>);
-
-impl Ages {
-    /// Notes that the draft at an offset, and all before it, were written by `now`.
-    pub fn note(&mut self, now: Boot, offset: u64) {
-        self.0.push_back((now, offset));
-    }
-
-    /// Offset before which all drafts are older than `kept`; forgets their ages.
-    pub fn expired(&mut self, now: Boot, kept: Duration) -> Option<u64> {
-        let mut before = None;
-        while let Some((at, offset)) = self.0.front().copied()
-            && at + kept < now
-        {
-            before = Some(offset);
-            self.0.pop_front();
-        }
-        before
-    }
-}
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -32,15 +32,26 @@
 /// Requests by tenant.
 pub type Counts = BTreeMap<String, u64>;
 
-/// A sign of life, which renews the leases that its writer holds.
+/// Renews the leases that its writer holds.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Beat {
+pub struct Renewal {
     /// Name of the instance.
     pub node: String,
     /// The writer.
     pub incarnation: Incarnation,
-    /// Number of this sign of life since the start of the process.
+    /// Number of this renewal since the start of the process.
     pub number: u64,
+    /// Leases held, with their fencing numbers.
+    pub leases: BTreeMap<Subject, u64>,
+}
+
+/// A sign of life; a record of the log of signs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Sign {
+    /// Name of the instance.
+    pub node: String,
+    /// The writer.
+    pub incarnation: Incarnation,
     /// Where callers connect.
     pub front: Option<SocketAddr>,
     /// Availability zone.
@@ -51,8 +62,6 @@
     pub capacity: u32,
     /// Unix time in milliseconds at which it was written.
     pub wall: u64,
-    /// Leases held, with their fencing numbers.
-    pub leases: BTreeMap<Subject, u64>,
     /// Requests that began to run, by usage window, since the start of the process.
     pub counts: BTreeMap<u64, Counts>,
 }
@@ -86,8 +95,8 @@
 /// A record of the ledger.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Record {
-    /// A sign of life.
-    Beat(Beat),
+    /// Renews leases.
+    Renewal(Renewal),
     /// Claims a lease; it counts only if nobody renewed the lease in between.
     Claim {
         /// What the lease is about.
--- a/tests/instance/drafts.rs
+++ b/tests/instance/drafts.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use basillead::ledger::drafts::{Ages, SavedDrafts};
+use basillead::ledger::ages::Ages;
+use basillead::ledger::drafts::SavedDrafts;
 use basillead::ledger::record::Draft;
 use proptest::prelude::*;
 
@@ -57,7 +58,7 @@
 }
 
 #[test]
-fn ages_old_drafts_expire() {
+fn ages_old_records_expire() {
     let kept = Duration::from_secs(30);
     let mut ages = Ages::default();
     ages.note(at(1000), 5);
--- a/tests/instance/fold.rs
+++ b/tests/instance/fold.rs
@@ -4,7 +4,8 @@
 
 use basillead::job::{Extent, Item, ItemEnd, JobRecord, Jobs, Listed, Part};
 use basillead::ledger::fold::Fold;
-use basillead::ledger::record::{Beat, Decoder, Incarnation, Record, encode};
+use basillead::ledger::members::Members;
+use basillead::ledger::record::{Decoder, Incarnation, Record, Renewal, Sign, Subject, encode};
 use proptest::prelude::*;
 
 use crate::at;
@@ -42,17 +43,24 @@
     }
 }
 
-pub(crate) fn beat(node: &str, number: u64, wall: u64) -> Beat {
-    Beat {
+pub(crate) fn renewal(node: &str, number: u64, subject: Subject, fence: u64) -> Renewal {
+    Renewal {
         node: node.to_owned(),
         incarnation: Incarnation(format!("{node}-1")),
         number,
+        leases: BTreeMap::from([(subject, fence)]),
+    }
+}
+
+pub(crate) fn sign(node: &str, wall: u64) -> Sign {
+    Sign {
+        node: node.to_owned(),
+        incarnation: Incarnation(format!("{node}-1")),
         front: None,
         zone: "z".to_owned(),
         ready: true,
         capacity: 500,
         wall,
-        leases: BTreeMap::new(),
         counts: BTreeMap::new(),
     }
 }
@@ -87,13 +95,14 @@
 #[test]
 fn windows_keep_their_first_figure() {
     let mut fold = Fold::default();
-    let mut first = beat("n1", 1, 0);
+    let mut members = Members::default();
+    let mut first = sign("n1", 0);
     first.counts = BTreeMap::from([(7, BTreeMap::from([("t".to_owned(), 3)]))]);
-    fold.apply(Record::Beat(first.clone()), 0, at(0));
+    members.apply(first.clone(), at(0));
     first.counts = BTreeMap::from([(7, BTreeMap::from([("t".to_owned(), 5)]))]);
-    fold.apply(Record::Beat(first), 1, at(10));
-    assert_eq!(fold.counted(7)["t"], 5, "counters are cumulative");
-    let counts = fold.counted(7);
+    members.apply(first, at(10));
+    assert_eq!(members.counted(7)["t"], 5, "counters are cumulative");
+    let counts = members.counted(7);
     fold.apply(Record::Window { window: 7, counts }, 2, at(20));
     let late = BTreeMap::from([("t".to_owned(), 9)]);
     fold.apply(
--- a/tests/instance/leases.rs
+++ b/tests/instance/leases.rs
@@ -6,11 +6,11 @@
 use basillead::instance::contact::Contact;
 use basillead::ledger::fold::{Fold, Lease};
 use basillead::ledger::lease::{hold, is_held, may_claim};
-use basillead::ledger::record::{Incarnation, Record, Subject};
+use basillead::ledger::record::{Incarnation, Record, Renewal, Subject};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use crate::fold::beat;
+use crate::fold::renewal;
 use crate::{at, ms};
 
 const LEASE: Duration = Duration::from_secs(3);
@@ -83,15 +83,13 @@
     };
     fold.apply(claim("a", None), 0, at(0));
     fold.apply(claim("b", Some(0)), 1, at(3000));
-    let mut late = beat("a", 9, 0);
-    late.leases = BTreeMap::from([(Subject::Usage, 0)]);
-    fold.apply(Record::Beat(late), 2, at(3010));
+    let late = renewal("a", 9, Subject::Usage, 0);
+    fold.apply(Record::Renewal(late), 2, at(3010));
     let lease = &fold.leases[&Subject::Usage];
     assert_eq!((lease.node.as_str(), lease.renewal), ("b", None));
     // A claim that does not know of a renewal before it loses.
-    let mut renewal = beat("b", 1, 0);
-    renewal.leases = BTreeMap::from([(Subject::Usage, 1)]);
-    fold.apply(Record::Beat(renewal), 3, at(3020));
+    let own = renewal("b", 1, Subject::Usage, 1);
+    fold.apply(Record::Renewal(own), 3, at(3020));
     fold.apply(claim("a", Some(1)), 4, at(3030));
     assert_eq!(fold.leases[&Subject::Usage].node, "b");
 }
@@ -100,9 +98,8 @@
 fn lease_read_from_a_renewal_only() {
     // The claim itself may have expired from the log before this reader started.
     let mut fold = Fold::default();
-    let mut renewal = beat("a", 70, 0);
-    renewal.leases = BTreeMap::from([(Subject::Usage, 12)]);
-    fold.apply(Record::Beat(renewal), 90, at(0));
+    let own = renewal("a", 70, Subject::Usage, 12);
+    fold.apply(Record::Renewal(own), 90, at(0));
     assert_eq!(fold.leases[&Subject::Usage].fence, 12);
 }
 
@@ -170,14 +167,18 @@
             self.due = now + BEAT;
             self.number += 1;
             self.sent.insert(self.number, now);
-            let mut sign = beat(&self.node, self.number, now);
-            sign.incarnation = self.incarnation();
+            let incarnation = self.incarnation();
             let own = self.fold.leases.iter();
-            let own = own.filter(|(_, lease)| lease.incarnation == sign.incarnation);
-            sign.leases = own
+            let own = own.filter(|(_, lease)| lease.incarnation == incarnation);
+            let leases = own
                 .map(|(subject, lease)| (subject.clone(), lease.fence))
                 .collect();
-            records.push(Record::Beat(sign));
+            records.push(Record::Renewal(Renewal {
+                node: self.node.clone(),
+                incarnation,
+                number: self.number,
+                leases,
+            }));
         }
         let lease = self.fold.leases.get(&Subject::Usage);
         let own = lease.is_some_and(|lease| lease.incarnation == self.incarnation());
