--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -49,7 +49,9 @@
             return status(StatusCode::BAD_REQUEST);
         }
     };
-    let stuck = shared.writer.stuck(Boot::now());
+    let now = Boot::now();
+    let payloads = shared.payloads.writer.stuck(now);
+    let stuck = shared.writer.stuck(now).max(payloads);
     if stuck > STORE_STUCK {
         event!("job_refused", "job" => intake.id, "store_stuck_ms" => stuck.as_millis());
         return come_back(STORE_AWAY);
