--- a/src/instance/signs.rs
+++ b/src/instance/signs.rs
@@ -26,7 +26,7 @@
 const RENEWALS_KEPT: usize = 64;
 
 /// Time for which signs of life are kept: longer than a usage window takes to be fixed.
-const KEPT: Duration = Duration::from_secs(30);
+const KEPT: Duration = Duration::from_secs(20);
 /// Time between two deletions of old signs of life.
 const TRIM_PACE: Duration = Duration::from_secs(10);
 
