--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -196,7 +196,7 @@
     }
 }
 
-/// Follows the instances' log.
+/// Follows the ledger.
 pub async fn ledger(shared: Rc<Shared>) {
     let mut watch = Watch::new("ledger");
     let mut decoder = Decoder::<Record>::default();
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,4 +1,4 @@
-//! The instances' log in the platform's store: records, their fold, leases and the writer.
+//! The instances' logs in the platform's store: records, their folds, leases and the writer.
 
 pub mod ages;
 pub mod drafts;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -1,4 +1,4 @@
-//! Records of the instances' log, and their framing.
+//! Records of the instances' logs, and their framing.
 
 use std::collections::BTreeMap;
 use std::marker::PhantomData;
