--- a/src/drive/renew.rs
+++ b/src/drive/renew.rs
@@ -6,6 +6,7 @@
 use super::moving::Board;
 use super::{Driver, route, service};
 use crate::instance::deployment::Deployment;
+use crate::instance::events::event;
 use crate::job::{Item, Job};
 
 /// Share of the newest sample in a model's lengths.
@@ -47,6 +48,13 @@
         }
     }
 
+    /// Lets any weights that its job takes make an item again.
+    pub(super) fn keep_old(&self, job: &Job, item: &str) {
+        let key = (job.record.id.clone(), item.to_owned());
+        self.renewed.borrow_mut().remove(&key);
+        event!("item_not_renewed", "job" => key.0, "item" => key.1);
+    }
+
     /// Events that an item still needs; none if nothing is known of its model's samples.
     fn left(&self, job: &Job, item: &Item) -> Option<f64> {
         if job.done.contains(&item.id) {
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -60,7 +60,7 @@
             continue;
         };
         let attempts = route.attempts.max(1);
-        let fit = Fit {
+        let mut fit = Fit {
             min: driver.min_version(job, &item.id),
             single: route.single_version,
         };
@@ -71,7 +71,14 @@
             });
             continue;
         }
-        let Some(at) = seat(driver, &room, &mut known, job, waiting.at, fit.min) else {
+        let mut at = seat(driver, &room, &mut known, job, waiting.at, fit.min);
+        if at.is_none() && fit.min > job.record.min_version {
+            // The room that newer weights had is gone; older ones make it as well.
+            driver.keep_old(job, &item.id);
+            fit.min = job.record.min_version;
+            at = seat(driver, &room, &mut known, job, waiting.at, fit.min);
+        }
+        let Some(at) = at else {
             left.insert(job.record.model.clone());
             continue;
         };
