Let one piece of code serve where the platform path repeated itself

No behaviour is meant to change, but for what is said here. - The ledger and the signs of life are followed by one function; pages of all four logs are decoded by Decoder::records, which knows where a record begins. A log's expired records are now logged for signs as for the ledger, with the stream's name. - Old signs and drafts are deleted by one Trimmer; drafts' deletion has the time limit that signs' had, and both say trim_failed. - Whether a connection is kept after an answer is decided where the head is read; a caller's stream asked for the idle time only, so that a connection which the server closes was given back and found closed later.

--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -157,9 +157,9 @@
 ) -> RunEnd {
     let call::Arriving {
         reply,
-        head,
         mut body,
         lane,
+        ..
     } = arriving;
     let weights = backend.weights.get(&task.model).copied();
     let mut version = reply.version.or(weights).unwrap_or_default();
@@ -212,9 +212,7 @@
     if reader.is_partial() || sample.borrow().data.is_empty() {
         return RunEnd::Broken;
     }
-    if !call::closes(&head) {
-        lane.keep(reply.keep);
-    }
+    lane.keep();
     RunEnd::Whole
 }
 
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -154,10 +154,7 @@
     /// Oldest weight version that every open job of a model takes.
     fn oldest(&self, model: &str) -> u64 {
         let fold = self.shared.fold.borrow();
-        let open = fold
-            .jobs
-            .iter()
-            .filter(|job| !job.is_finished() && job.record.model == model);
+        let open = fold.jobs.open().filter(|job| job.record.model == model);
         open.map(|job| job.record.min_version)
             .max()
             .unwrap_or_default()
@@ -169,10 +166,7 @@
             return true;
         };
         let fold = self.shared.fold.borrow();
-        let open = fold
-            .jobs
-            .iter()
-            .filter(|job| !job.is_finished() && job.record.model == model);
+        let open = fold.jobs.open().filter(|job| job.record.model == model);
         open.filter_map(|job| route(&deployment, job))
             .any(|route| route.single_version)
     }
@@ -215,8 +209,7 @@
                 .iter()
                 .filter(|job| job.record.model == *model)
                 .collect();
-            let tokens = |job: &&Job| job.record.items.iter().map(|item| item.hint).sum::<u64>();
-            let total: u64 = jobs.iter().map(tokens).sum();
+            let total: u64 = jobs.iter().map(|job| job.tokens).sum();
             let mean = total / u64::try_from(jobs.len().max(1)).unwrap_or(u64::MAX);
             work.insert(
                 model.as_str(),
--- a/src/drive/moving.rs
+++ b/src/drive/moving.rs
@@ -7,9 +7,7 @@
 use super::{Driver, Key};
 use crate::boot::Boot;
 use crate::instance::edge::Backend;
-
-/// Slowdown from which on a server does not make items anew.
-const SLOW: f64 = 1.6;
+use crate::job::place::SLOW;
 
 /// Running items of a service, and the servers with room.
 pub(super) struct Board {
--- a/src/drive/renew.rs
+++ b/src/drive/renew.rs
@@ -99,12 +99,7 @@
     pub(super) fn renew(&self, deployment: &Deployment, name: &str, board: &mut Board) {
         let fold = self.shared.fold.borrow();
         let own = |job: &&Job| route(deployment, job).is_some_and(|one| service(one, job) == name);
-        for job in fold
-            .jobs
-            .iter()
-            .filter(|job| !job.is_finished())
-            .filter(own)
-        {
+        for job in fold.jobs.open().filter(own) {
             let min = self.next_min(&job.record.model);
             if min <= job.record.min_version {
                 continue;
--- a/src/drive/takeover.rs
+++ b/src/drive/takeover.rs
@@ -10,9 +10,9 @@
 use super::make::DRAFT_KEPT;
 use crate::boot::Boot;
 use crate::instance::Shared;
-use crate::instance::edge::{Log, StoreError};
+use crate::instance::edge::{Log, STORE_PAUSE, StoreError};
 use crate::instance::events::event;
-use crate::ledger::ages::Ages;
+use crate::instance::trim::Trimmer;
 use crate::ledger::drafts::SavedDrafts;
 use crate::ledger::record::{Decoder, Draft, Subject};
 
@@ -20,8 +20,6 @@
 ///
 /// Making a long text again takes some seconds.
 const READ: Duration = Duration::from_millis(1500);
-/// Pause after a read that failed.
-const FAILED_PACE: Duration = Duration::from_millis(120);
 /// Time between two rounds of saving unfinished texts.
 const SAVE_PACE: Duration = Duration::from_millis(500);
 /// Time between two deletions of old drafts.
@@ -40,12 +38,20 @@
     Done(u64),
 }
 
-/// When drafts were saved and deleted, and where the saved ones stand.
-#[derive(Debug, Default)]
+/// When drafts were saved last, and which ones are old.
+#[derive(Debug)]
 pub(super) struct Saving {
     last: Boot,
-    trimmed: Boot,
-    ages: Ages,
+    trimmer: Trimmer,
+}
+
+impl Default for Saving {
+    fn default() -> Self {
+        Self {
+            last: Boot::default(),
+            trimmer: Trimmer::new(Log::Drafts, DRAFT_KEPT, TRIM_PACE),
+        }
+    }
 }
 
 impl Driver {
@@ -111,12 +117,15 @@
         tokio::task::spawn_local(async move {
             // An error means that the process ends.
             if let Ok(ack) = written.await {
-                driver
-                    .saving
-                    .borrow_mut()
-                    .ages
-                    .note(Boot::now(), ack.offset);
-                driver.trim().await;
+                let now = Boot::now();
+                let due = {
+                    let trimmer = &mut driver.saving.borrow_mut().trimmer;
+                    trimmer.note(now, ack.offset);
+                    trimmer.due(now)
+                };
+                if let Some(trim) = due {
+                    trim.run(&driver.shared).await;
+                }
             }
         });
     }
@@ -141,25 +150,6 @@
         self.drafts.unsaved(&running, all)
     }
 
-    /// Deletes drafts that are too old to be of use.
-    async fn trim(&self) {
-        let now = Boot::now();
-        let before = {
-            let mut saving = self.saving.borrow_mut();
-            if now < saving.trimmed + TRIM_PACE {
-                return;
-            }
-            let Some(before) = saving.ages.expired(now, DRAFT_KEPT) else {
-                return;
-            };
-            saving.trimmed = now;
-            before
-        };
-        if let Err(error) = self.shared.store.trim(Log::Drafts, before).await {
-            event!("drafts_trim_failed", "before" => before, "error" => error);
-        }
-    }
-
     /// Waits until the last drafts are written, as long as the next leader would gain by it.
     pub(super) async fn saved_all(&self) {
         let last = Boot::now() + HAND_OVER;
@@ -180,12 +170,8 @@
             .read(Log::Drafts, next, usize::MAX, Duration::ZERO);
         match call.await {
             Ok(page) => {
-                for (offset, piece) in page.items {
-                    match decoder.push(&piece) {
-                        Ok(Some(draft)) => saved.save(draft),
-                        Ok(None) => {}
-                        Err(error) => event!("record", "offset" => offset, "error" => error),
-                    }
+                for (_, draft) in decoder.records(page.items) {
+                    saved.save(draft);
                 }
                 next = page.next;
                 if next >= page.end {
@@ -198,7 +184,7 @@
             }
             Err(error) => {
                 event!("drafts_read_failed", "from" => next, "error" => error);
-                sleep(FAILED_PACE).await;
+                sleep(STORE_PAUSE).await;
             }
         }
     }
--- a/src/duty/scale.rs
+++ b/src/duty/scale.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::ANSWER;
 use super::capacity::{ZoneState, plan, wanted};
 use crate::boot::Boot;
 use crate::instance::Shared;
@@ -23,8 +24,6 @@
 const AGAIN: Duration = Duration::from_secs(8);
 /// Rounds that are older do not count.
 const RECENT: Duration = Duration::from_secs(30);
-/// Time within which an order is answered.
-const ANSWER: Duration = Duration::from_millis(900);
 
 /// What was ordered for a zone, and when.
 #[derive(Clone, Copy, Debug)]
--- a/src/duty/usage.rs
+++ b/src/duty/usage.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::{sleep, timeout};
 
+use super::ANSWER;
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::edge::CloudReply;
@@ -21,8 +22,6 @@
 const WAIT_SHARE: f64 = 0.7;
 /// Windows before the present one that are looked at.
 const WINDOWS_BACK: u64 = 4;
-/// Time within which a report is answered.
-const ANSWER: Duration = Duration::from_millis(900);
 
 /// Whether a window that ended `since_end` ago may be fixed.
 ///
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -78,7 +78,6 @@
 struct Relayed {
     body: Incoming,
     lane: Option<Lane>,
-    keep: Option<std::time::Duration>,
     _running: Running,
 }
 
@@ -94,7 +93,7 @@
         if let Poll::Ready(None) = polled
             && let Some(lane) = self.lane.take()
         {
-            lane.keep(self.keep);
+            lane.keep();
         }
         polled
     }
@@ -152,17 +151,15 @@
             shared.count_usage(tenant, began);
         }
         let call::Arriving {
-            reply,
             mut head,
             body,
             lane,
+            ..
         } = arriving;
-        let keep = reply.keep.filter(|_| !call::closes(&head));
         call::strip_hop(&mut head.headers);
         let relayed = Relayed {
             body,
             lane: Some(lane),
-            keep,
             _running: running,
         };
         return Response::from_parts(head, Body::Stream(Box::pin(relayed)));
--- a/src/front/listen.rs
+++ b/src/front/listen.rs
@@ -92,10 +92,7 @@
         let value = i64::try_from(value).unwrap_or(i64::MAX);
         shared.metrics.present.with_label_values(&[what]).set(value);
     };
-    set(
-        "jobs_open",
-        fold.jobs.iter().filter(|job| !job.is_finished()).count(),
-    );
+    set("jobs_open", fold.jobs.open().count());
     set("instances_known", shared.members.borrow().known.len());
     set("requests_active", shared.active.get());
     set(
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -49,6 +49,12 @@
     },
 }
 
+/// Time within which the store answers, beyond the hold of a long poll, before the call is given
+/// up and its connection closed.
+pub const STORE_ANSWER: Duration = Duration::from_millis(900);
+/// Pause after a call of the store that failed.
+pub const STORE_PAUSE: Duration = Duration::from_millis(120);
+
 /// A log of the instances' own in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Log {
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -3,11 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use serde::de::DeserializeOwned;
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use super::edge::{Log, OperatorNews, Page, ServerNews, StoreError};
+use super::edge::{Log, OperatorNews, Page, STORE_ANSWER, STORE_PAUSE, ServerNews, StoreError};
 use super::events::event;
 use crate::boot::Boot;
 use crate::ledger::record::{Decoder, Record, Sign};
@@ -16,16 +16,12 @@
 ///
 /// Half a second bounds the age of what an instance knows, at two calls a second.
 const HOLD: Duration = Duration::from_millis(500);
-/// Time beyond the hold after which a read is given up and its connection closed.
-const ANSWER: Duration = Duration::from_millis(900);
 /// Pause between two reads of the log, so that records gather.
 const LEDGER_PACE: Duration = Duration::from_millis(40);
 /// Pause between two reads of the signs of life, which come all the time.
 const SIGNS_PACE: Duration = Duration::from_millis(400);
 /// Pause between two reads of the registry, whose entries change about every second.
 const SERVERS_PACE: Duration = Duration::from_millis(250);
-/// Pause after a read that failed.
-const FAILED_PACE: Duration = Duration::from_millis(120);
 
 /// Says once that a stream was lost or regained.
 struct Watch {
@@ -61,7 +57,7 @@
     let unanswered = || StoreError::Unanswered {
         detail: "time is up".to_owned(),
     };
-    timeout(HOLD + ANSWER, call)
+    timeout(HOLD + STORE_ANSWER, call)
         .await
         .unwrap_or_else(|_| Err(unanswered()))
 }
@@ -92,7 +88,7 @@
                 if matches!(error, StoreError::Expired { .. }) {
                     next = None;
                 }
-                sleep(FAILED_PACE).await;
+                sleep(STORE_PAUSE).await;
             }
         }
     }
@@ -145,7 +141,7 @@
                 if matches!(error, StoreError::Expired { .. }) {
                     next = None;
                 }
-                sleep(FAILED_PACE).await;
+                sleep(STORE_PAUSE).await;
             }
         }
     }
@@ -176,112 +172,117 @@
     shared.changed.notify_waiters();
 }
 
-/// What a process that starts has read of the log.
-#[derive(Default)]
-struct Reading {
-    pages: usize,
-    records: usize,
+/// A page of a log that was read and applied.
+struct Applied {
+    /// When the read was sent, and when its answer came.
+    sent: Boot,
+    received: Boot,
+    /// Records before they are put together, and their bytes.
+    pieces: usize,
     bytes: usize,
+    /// Whether the log had no more.
+    is_last: bool,
 }
 
-impl Reading {
-    fn add(&mut self, page: &Page<Bytes>) {
-        self.pages += 1;
-        self.records += page.items.len();
-        self.bytes += page
-            .items
-            .iter()
-            .map(|(_, piece)| piece.len())
-            .sum::<usize>();
-    }
-}
-
-/// Follows the ledger.
-pub async fn ledger(shared: Rc<Shared>) {
-    let mut watch = Watch::new("ledger");
-    let mut decoder = Decoder::<Record>::default();
+/// Follows a log for ever: `apply` takes a record, and `done` is told of each page and gives the
+/// pause before the next read.
+async fn follow<T: DeserializeOwned>(
+    shared: &Shared,
+    log: Log,
+    stream: &'static str,
+    mut apply: impl FnMut(T, u64, Boot),
+    mut done: impl FnMut(&Applied) -> Duration,
+) {
+    let mut watch = Watch::new(stream);
+    let mut decoder = Decoder::default();
     let mut next = 0;
-    let started = Boot::now();
-    let mut start = Some(Reading::default());
     loop {
         let sent = Boot::now();
-        match read(shared.store.read(Log::Ledger, next, usize::MAX, HOLD)).await {
+        match read(shared.store.read(log, next, usize::MAX, HOLD)).await {
             Ok(page) => {
                 watch.answered();
-                let now = Boot::now();
-                let is_empty = page.items.is_empty();
-                if let Some(reading) = &mut start {
-                    reading.add(&page);
-                }
-                for (offset, piece) in page.items {
-                    match decoder.push(&piece) {
-                        Ok(Some(record)) => {
-                            shared.fold.borrow_mut().apply(record, offset, now);
-                        }
-                        Ok(None) => {}
-                        Err(error) => event!("record", "offset" => offset, "error" => error),
-                    }
+                let received = Boot::now();
+                let pieces = page.items.len();
+                let bytes = page.items.iter().map(|(_, piece)| piece.len()).sum();
+                for (offset, record) in decoder.records(page.items) {
+                    apply(record, offset, received);
                 }
                 next = page.next;
-                if page.next >= page.end {
-                    shared.contacts.borrow_mut().ledger.note(sent, now);
-                    if let Some(reading) = start.take() {
-                        let took = now.since(started).as_millis();
-                        event!("ledger_read", "pages" => reading.pages, "records" => reading.records,
-                            "bytes" => reading.bytes, "took_ms" => took);
-                    }
-                }
-                shared.changed.notify_waiters();
-                // A process that starts reads on until it has caught up.
-                if !is_empty && next >= page.end {
-                    sleep(LEDGER_PACE).await;
+                let pause = done(&Applied {
+                    sent,
+                    received,
+                    pieces,
+                    bytes,
+                    is_last: page.next >= page.end,
+                });
+                if !pause.is_zero() {
+                    sleep(pause).await;
                 }
             }
             Err(StoreError::Expired { first }) => {
-                event!("records_expired", "from" => next, "first" => first);
+                event!("records_expired", "stream" => stream, "from" => next, "first" => first);
                 decoder = Decoder::default();
                 next = first;
             }
             Err(error) => {
                 watch.failed(&error);
-                sleep(FAILED_PACE).await;
+                sleep(STORE_PAUSE).await;
             }
         }
     }
 }
 
+/// What a process that starts has read of the ledger.
+#[derive(Default)]
+struct Start {
+    pages: usize,
+    records: usize,
+    bytes: usize,
+}
+
+/// Follows the ledger.
+pub async fn ledger(shared: Rc<Shared>) {
+    let started = Boot::now();
+    let mut start = Some(Start::default());
+    let apply = |record: Record, offset, received| {
+        shared.fold.borrow_mut().apply(record, offset, received);
+    };
+    let done = |page: &Applied| {
+        if let Some(start) = &mut start {
+            start.pages += 1;
+            start.records += page.pieces;
+            start.bytes += page.bytes;
+        }
+        if page.is_last {
+            let mut contacts = shared.contacts.borrow_mut();
+            contacts.ledger.note(page.sent, page.received);
+            if let Some(start) = start.take() {
+                let took = page.received.since(started).as_millis();
+                event!("ledger_read", "pages" => start.pages, "records" => start.records,
+                    "bytes" => start.bytes, "took_ms" => took);
+            }
+        }
+        shared.changed.notify_waiters();
+        // A process that starts reads on until it has caught up.
+        if page.is_last && page.pieces > 0 {
+            LEDGER_PACE
+        } else {
+            Duration::ZERO
+        }
+    };
+    follow(&shared, Log::Ledger, "ledger", apply, done).await;
+}
+
 /// Follows the instances' signs of life.
 pub async fn signs(shared: Rc<Shared>) {
-    let mut watch = Watch::new("signs");
-    let mut decoder = Decoder::<Sign>::default();
-    let mut next = 0;
-    loop {
-        let sent = Boot::now();
-        match read(shared.store.read(Log::Signs, next, usize::MAX, HOLD)).await {
-            Ok(page) => {
-                watch.answered();
-                let now = Boot::now();
-                for (offset, piece) in page.items {
-                    match decoder.push(&piece) {
-                        Ok(Some(sign)) => shared.members.borrow_mut().apply(sign, now),
-                        Ok(None) => {}
-                        Err(error) => event!("record", "offset" => offset, "error" => error),
-                    }
-                }
-                next = page.next;
-                if page.next >= page.end {
-                    shared.contacts.borrow_mut().signs.note(sent, now);
-                    sleep(SIGNS_PACE).await;
-                }
-            }
-            Err(StoreError::Expired { first }) => {
-                decoder = Decoder::default();
-                next = first;
-            }
-            Err(error) => {
-                watch.failed(&error);
-                sleep(FAILED_PACE).await;
-            }
+    let apply = |sign: Sign, _, received| shared.members.borrow_mut().apply(sign, received);
+    let done = |page: &Applied| {
+        if !page.is_last {
+            return Duration::ZERO;
         }
-    }
+        let mut contacts = shared.contacts.borrow_mut();
+        contacts.signs.note(page.sent, page.received);
+        SIGNS_PACE
+    };
+    follow(&shared, Log::Signs, "signs", apply, done).await;
 }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -13,6 +13,7 @@
 pub mod run;
 pub mod settings;
 pub mod signs;
+pub mod trim;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
--- a/src/instance/payloads.rs
+++ b/src/instance/payloads.rs
@@ -13,17 +13,13 @@
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use super::edge::{Log, Page};
+use super::edge::{Log, Page, STORE_ANSWER, STORE_PAUSE};
 use super::events::event;
 use crate::boot::Boot;
 use crate::job::{Content, Extent, Part};
 use crate::ledger::record::{Decoder, Payload};
 use crate::ledger::writer::{Ack, Outcome, Writer};
 
-/// Time within which the store answers a read.
-const ANSWER: Duration = Duration::from_millis(900);
-/// Pause after a read that failed.
-const FAILED_PACE: Duration = Duration::from_millis(120);
 /// Bytes of payloads that are remembered: some ten rounds of a hundred samples.
 const REMEMBERED: usize = 4 << 20;
 /// Bytes of contents from which on a new payload begins.
@@ -228,7 +224,7 @@
     let shared = Rc::clone(shared);
     tokio::task::spawn_local(async move {
         if !fetch(&shared, &[extent]).await {
-            sleep(FAILED_PACE).await;
+            sleep(STORE_PAUSE).await;
         }
         shared.payloads.coming.borrow_mut().remove(&extent.offset);
         shared.changed.notify_waiters();
@@ -239,24 +235,12 @@
 async fn read(shared: &Shared, from: u64, bytes: usize) -> Option<BTreeMap<u64, Loaded>> {
     let mut decoder = Decoder::<Payload>::default();
     let mut found = BTreeMap::new();
-    let mut first = from;
     let mut next = from;
     loop {
         let page = page(shared, next, bytes).await?;
         let is_last = page.items.is_empty() || page.next >= page.end;
-        for (at, piece) in page.items {
-            match decoder.push(&piece) {
-                Ok(Some(payload)) => {
-                    found.insert(first, Loaded::from(payload));
-                    first = at + 1;
-                }
-                Ok(None) => {}
-                Err(error) => {
-                    event!("record", "offset" => at, "error" => error);
-                    first = at + 1;
-                }
-            }
-        }
+        let records = decoder.records(page.items);
+        found.extend(records.map(|(offset, payload)| (offset, Loaded::from(payload))));
         next = page.next;
         if is_last || !found.is_empty() {
             return Some(found);
@@ -268,7 +252,7 @@
     let call = shared
         .store
         .read(Log::Payloads, from, bytes, Duration::ZERO);
-    match timeout(ANSWER, call).await {
+    match timeout(STORE_ANSWER, call).await {
         Ok(Ok(page)) => Some(page),
         Ok(Err(error)) => {
             event!("payload_failed", "offset" => from, "error" => error);
--- a/src/instance/signs.rs
+++ b/src/instance/signs.rs
@@ -8,9 +8,8 @@
 
 use super::Shared;
 use super::edge::Log;
-use super::events::event;
+use super::trim::Trimmer;
 use crate::boot::Boot;
-use crate::ledger::ages::Ages;
 use crate::ledger::record::{Record, Renewal, Sign, Subject};
 use crate::util::{millis, unix_ms};
 
@@ -18,8 +17,6 @@
 const RENEW_PACE: Duration = Duration::from_millis(400);
 /// Time between two signs of life.
 const SIGN_PACE: Duration = Duration::from_millis(800);
-/// Time within which the store answers a deletion.
-const ANSWER: Duration = Duration::from_millis(900);
 /// Usage windows whose counters are sent along.
 const WINDOWS_SENT: u64 = 4;
 /// Renewals whose times are remembered.
@@ -32,20 +29,19 @@
 
 /// Writes signs of life, for ever.
 pub async fn sign(shared: Rc<Shared>) {
-    let mut ages = Ages::default();
-    let mut trimmed = Boot::now();
+    let mut trimmer = Trimmer::new(Log::Signs, KEPT, TRIM_PACE);
     loop {
         let made = Boot::now();
         // The next one waits for this one, so that none pile up while the store is away; an
         // error means that the process ends.
         if let Ok(ack) = shared.sign_writer.push(&own_sign(&shared)).await {
-            ages.note(made, ack.offset);
+            trimmer.note(made, ack.offset);
         }
-        if trimmed + TRIM_PACE < made
-            && let Some(before) = ages.expired(made, KEPT)
+        // One or two instances hold a lease, which is enough to delete old signs.
+        if let Some(trim) = trimmer.due(made)
+            && !own_leases(&shared).is_empty()
         {
-            trimmed = made;
-            trim(&shared, before).await;
+            trim.run(&shared).await;
         }
         let left = (made + SIGN_PACE).left(Boot::now());
         // Whichever comes first.
@@ -53,17 +49,6 @@
     }
 }
 
-/// Deletes old signs of life, if this instance holds a lease: one or two do so.
-async fn trim(shared: &Shared, before: u64) {
-    if own_leases(shared).is_empty() {
-        return;
-    }
-    let trimmed = timeout(ANSWER, shared.store.trim(Log::Signs, before)).await;
-    if !matches!(trimmed, Ok(Ok(()))) {
-        event!("signs_trim_failed", "before" => before, "outcome" => format!("{trimmed:?}"));
-    }
-}
-
 /// Renews the leases that are held, for ever.
 pub async fn renew(shared: Rc<Shared>) {
     let mut number = 0;
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -137,6 +137,8 @@
     pub ended: bool,
     /// Number of jobs accepted before it.
     pub order: u64,
+    /// Estimate of the output of all its items in tokens.
+    pub tokens: u64,
     index: HashMap<String, usize>,
 }
 
@@ -176,6 +178,7 @@
             done: HashSet::new(),
             ended: false,
             order: self.accepted,
+            tokens: record.items.iter().map(|item| item.hint).sum(),
             index,
             record,
         };
@@ -227,6 +230,11 @@
         self.known.get(job)
     }
 
+    /// Jobs that have something left to do.
+    pub fn open(&self) -> impl Iterator<Item = &Job> {
+        self.iter().filter(|job| !job.is_finished())
+    }
+
     /// All jobs.
     pub fn iter(&self) -> impl Iterator<Item = &Job> {
         self.known.values()
--- a/src/job/order.rs
+++ b/src/job/order.rs
@@ -39,10 +39,7 @@
     is_own: impl Fn(&Job) -> bool,
     is_running: impl Fn(&str, &str) -> bool,
 ) -> Vec<Waiting<'a>> {
-    let mut open: Vec<&Job> = jobs
-        .iter()
-        .filter(|job| !job.is_finished() && is_own(job))
-        .collect();
+    let mut open: Vec<&Job> = jobs.open().filter(|job| is_own(job)).collect();
     open.sort_by_key(|job| job.order);
     let mut wanted = Vec::new();
     let mut spare = Vec::new();
--- a/src/job/place.rs
+++ b/src/job/place.rs
@@ -7,8 +7,8 @@
 /// What a server that is kept for another model costs more: it may load that model's
 /// weights at any time.
 const FOREIGN: f64 = 2.0;
-/// Slowdown from which on a server is no longer worth a shared prompt.
-const SLOW: f64 = 1.6;
+/// Slowdown from which on a server is not worth a shared prompt, or a sample made anew.
+pub const SLOW: f64 = 1.6;
 
 /// A backend server that may take an item.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -9,6 +9,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::instance::events::event;
 use crate::job::{Content, JobRecord, Listed};
 
 /// One start of an instance's process.
@@ -171,6 +172,8 @@
 #[derive(Clone, Debug)]
 pub struct Decoder<T> {
     pending: Vec<u8>,
+    /// Offset of the first pending piece.
+    first: Option<u64>,
     record: PhantomData<T>,
 }
 
@@ -178,12 +181,33 @@
     fn default() -> Self {
         Self {
             pending: Vec::new(),
+            first: None,
             record: PhantomData,
         }
     }
 }
 
 impl<T: DeserializeOwned> Decoder<T> {
+    /// Takes the pieces of a page; gives each whole record with the offset of its first piece.
+    ///
+    /// What does not decode is logged and passed over.
+    pub fn records(&mut self, pieces: Vec<(u64, Bytes)>) -> impl Iterator<Item = (u64, T)> {
+        pieces.into_iter().filter_map(|(offset, piece)| {
+            let first = *self.first.get_or_insert(offset);
+            let pushed = self.push(&piece);
+            if !matches!(pushed, Ok(None)) {
+                self.first = None;
+            }
+            match pushed {
+                Ok(record) => record.map(|record| (first, record)),
+                Err(error) => {
+                    event!("record", "offset" => offset, "error" => error);
+                    None
+                }
+            }
+        })
+    }
+
     /// Takes the next piece; gives a record when it is whole.
     ///
     /// # Errors
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -170,6 +170,7 @@
     let answer = sender.send_request(request).await.context(BrokenSnafu)?;
     let (head, body) = answer.into_parts();
     let reply = dialect.reply(&head);
+    lane.answered(closes(&head), reply.keep);
     if is_foreign(&reply, head.status, dispatch.id) {
         return ForeignSnafu.fail();
     }
@@ -202,11 +203,7 @@
         lane,
     } = arriving;
     let body = body.collect().await.context(BrokenSnafu)?.to_bytes();
-    if closes(&head) {
-        drop(lane);
-    } else {
-        lane.keep(reply.keep);
-    }
+    lane.keep();
     Ok(Answer {
         reply,
         whole: Response::from_parts(head, body),
@@ -214,8 +211,7 @@
 }
 
 /// Whether the server closes the connection after this answer.
-#[must_use]
-pub fn closes(head: &http::response::Parts) -> bool {
+fn closes(head: &http::response::Parts) -> bool {
     let value = head.headers.get(header::CONNECTION);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -84,10 +84,10 @@
 pub struct Lane {
     pool: Pool,
     key: Key,
-    /// Whether it served a request before.
-    pub reused: bool,
     /// Sends the request.
     pub sender: Option<SendRequest<Full<Bytes>>>,
+    /// Time for which the server keeps it idle; zero if it closes it after this answer.
+    idle: Duration,
 }
 
 impl std::fmt::Debug for Lane {
@@ -97,17 +97,26 @@
 }
 
 impl Lane {
-    /// Gives the connection back after a whole answer.
-    pub fn keep(mut self, keep: Option<Duration>) {
+    /// Notes what the head of an answer says of the connection: whether the server closes it,
+    /// and for how long it keeps it idle otherwise.
+    pub fn answered(&mut self, closes: bool, keep: Option<Duration>) {
+        self.idle = match keep {
+            _ if closes => Duration::ZERO,
+            Some(span) => span.saturating_sub(IDLE_MARGIN),
+            None => IDLE_DEFAULT,
+        };
+    }
+
+    /// Gives the connection back after a whole answer, unless the server closes it.
+    pub fn keep(mut self) {
         let Some(sender) = self.sender.take() else {
             return;
         };
-        let span = keep.map_or(IDLE_DEFAULT, |span| span.saturating_sub(IDLE_MARGIN));
-        if sender.is_closed() || span.is_zero() {
+        if sender.is_closed() || self.idle.is_zero() {
             self.close();
             return;
         }
-        let expires = Boot::now() + span;
+        let expires = Boot::now() + self.idle;
         let mut slots = self.pool.slots.borrow_mut();
         slots
             .entry(self.key.clone())
@@ -153,8 +162,8 @@
             return Ok(Lane {
                 pool: self.clone(),
                 key,
-                reused: true,
                 sender: Some(sender),
+                idle: IDLE_DEFAULT,
             });
         }
         if self
@@ -181,8 +190,8 @@
         Ok(Lane {
             pool: self.clone(),
             key,
-            reused: false,
             sender: Some(sender),
+            idle: IDLE_DEFAULT,
         })
     }
 
