--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -13,7 +13,7 @@
 use crate::instance::events::event;
 use crate::job::{Extent, ItemEnd, Listed};
 use crate::ledger::drafts::{Saved, SavedDrafts};
-use crate::ledger::record::{self, Record};
+use crate::ledger::record::{self, JobEvent};
 
 /// Time for which a server that turned an item away gets no other one.
 const FULL_REST: Duration = Duration::from_millis(120);
@@ -254,7 +254,7 @@
         self.list(&task.job, &task.item.id, ended);
     }
 
-    /// Writes a result to the ledger; the item counts as running until it is read there.
+    /// Writes a result to the log of jobs; the item counts as running until it is read there.
     pub(super) fn list(&self, job: &str, item: &str, ended: Ended) {
         self.drafts.remove(item);
         let (text, score) = match ended {
@@ -290,7 +290,7 @@
                 versions,
                 score,
             };
-            drop(shared.writer.push(&Record::Listed { job, result }));
+            drop(shared.job_writer.push(&JobEvent::Listed { job, result }));
         });
     }
 }
--- a/src/drive/takeover.rs
+++ b/src/drive/takeover.rs
@@ -20,6 +20,8 @@
 ///
 /// Making a long text again takes some seconds.
 const READ: Duration = Duration::from_millis(1500);
+/// Longest time between two looks at how far the log of jobs was read.
+const JOBS_LOOK: Duration = Duration::from_millis(100);
 /// Time between two rounds of saving unfinished texts.
 const SAVE_PACE: Duration = Duration::from_millis(500);
 /// Time between two deletions of old drafts.
@@ -72,6 +74,7 @@
         let service = service.to_owned();
         tokio::task::spawn_local(async move {
             let started = Boot::now();
+            driver.jobs_read(started).await;
             let read = timeout(READ, read(&driver.shared)).await;
             let took = Boot::now().since(started).as_millis();
             match read {
@@ -92,6 +95,21 @@
         false
     }
 
+    /// Waits until the log of jobs has been read to its end by a read sent after `since`.
+    async fn jobs_read(&self, since: Boot) {
+        let shared = &self.shared;
+        while shared
+            .contacts
+            .borrow()
+            .jobs
+            .seen
+            .is_none_or(|seen| seen < since)
+        {
+            // Contact is looked at again either way.
+            let _ = timeout(JOBS_LOOK, shared.changed.notified()).await;
+        }
+    }
+
     /// Fencing number of a service's lease, which this process holds.
     fn fence(&self, service: &str) -> Option<u64> {
         let fold = self.shared.fold.borrow();
--- a/src/duty/usage.rs
+++ b/src/duty/usage.rs
@@ -8,6 +8,7 @@
 use super::ANSWER;
 use crate::boot::Boot;
 use crate::instance::Shared;
+use crate::instance::counters::pace;
 use crate::instance::edge::CloudReply;
 use crate::instance::events::event;
 use crate::instance::leases::SILENCE;
@@ -17,7 +18,7 @@
 /// Time between two looks at the windows.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time after a window's end until its last requests are counted.
-const SETTLE: Duration = Duration::from_millis(700);
+pub const SETTLE: Duration = Duration::from_millis(700);
 /// Share of the time allowed after which a window is fixed without the counters of all.
 const WAIT_SHARE: f64 = 0.7;
 /// Windows before the present one that are looked at.
@@ -80,17 +81,23 @@
     let end = (window + 1) * length;
     let since_end = Duration::from_millis(now.saturating_sub(end));
     let record = {
-        let contact = shared.contacts.borrow().signs;
-        let members = shared.members.borrow();
-        let seen = contact.seen.unwrap_or_default();
-        let mut alive = members.alive(seen, contact.since, SILENCE);
-        let behind = alive.any(|(_, member)| member.wall < end + millis(SETTLE));
+        let pace = pace(shared.instances());
+        let read = shared.contacts.borrow().counters.seen;
+        let Some(read) = read.map(|seen| Boot::now().since(seen)) else {
+            return;
+        };
+        let counters = shared.counters.borrow();
+        let settled = end + millis(SETTLE);
+        let behind = counters.is_behind(window, settled, Boot::now(), SILENCE.max(pace * 2));
+        // What instances counted last is in the log a pace after the window settled.
+        let settles = SETTLE + pace;
+        let behind = behind || since_end < settles + read;
         if !may_fix(since_end, behind, shared.settings.bounds.report_due) {
             return;
         }
         Record::Window {
             window,
-            counts: members.counted(window),
+            counts: counters.counted(window),
         }
     };
     // The fold shows the window once it is in the log; until then nothing is sent.
--- a/src/front/jobs.rs
+++ b/src/front/jobs.rs
@@ -14,7 +14,7 @@
 use crate::instance::events::event;
 use crate::instance::{Shared, payloads};
 use crate::job::{Extent, Job, JobRecord, Listed};
-use crate::ledger::record::Record;
+use crate::ledger::record::JobEvent;
 use crate::ledger::writer::Outcome;
 use crate::util::unix_ms;
 
@@ -28,6 +28,8 @@
 const KNOWN: Duration = Duration::from_millis(1200);
 /// Age of the last read of the log's end up to which there is no result where none is known.
 const SURE: Duration = Duration::from_millis(900);
+/// Time to wait for newer results where some are known.
+const CATCH_UP: Duration = Duration::from_millis(150);
 /// Bytes of one page of results.
 const PAGE_BYTES: usize = 900_000;
 /// Longest wait for a result.
@@ -51,7 +53,7 @@
     };
     let now = Boot::now();
     let payloads = shared.payloads.writer.stuck(now);
-    let stuck = shared.writer.stuck(now).max(payloads);
+    let stuck = shared.job_writer.stuck(now).max(payloads);
     if stuck > STORE_STUCK {
         event!("job_refused", "job" => intake.id, "store_stuck_ms" => stuck.as_millis());
         return come_back(STORE_AWAY);
@@ -84,8 +86,8 @@
         parts,
     };
     let outcome = shared
-        .writer
-        .write(&Record::Job(Box::new(record)), deadline)
+        .job_writer
+        .write(&JobEvent::Job(Box::new(record)), deadline)
         .await;
     event!(
         "job",
@@ -144,6 +146,7 @@
 async fn find(shared: &Shared, job: &str, tenant: Option<&str>) -> Result<(), Box<Response<Body>>> {
     let asked = Boot::now();
     let deadline = asked + KNOWN;
+    let _asking = shared.jobs_interest.ask();
     loop {
         let changed = shared.changed.notified();
         match with_job(shared, job, tenant, |_| ()) {
@@ -151,7 +154,7 @@
             Known::Foreign => return Err(Box::new(status(StatusCode::NOT_FOUND))),
             Known::Unknown => {}
         }
-        let seen = shared.contacts.borrow().ledger.seen;
+        let seen = shared.contacts.borrow().jobs.seen;
         if seen.is_some_and(|seen| seen > asked) {
             event!("job_unknown", "job" => job);
             return Err(Box::new(status(StatusCode::NOT_FOUND)));
@@ -177,7 +180,9 @@
     if let Err(response) = find(shared, job, tenant).await {
         return *response;
     }
-    let deadline = Boot::now() + wait.min(WAIT_MAX);
+    let _asking = shared.jobs_interest.ask();
+    let asked = Boot::now();
+    let deadline = asked + wait.min(WAIT_MAX);
     loop {
         let changed = shared.changed.notified();
         let page = with_job(shared, job, tenant, |job| {
@@ -188,10 +193,17 @@
             return come_back(super::admit::ELSEWHERE);
         };
         let now = Boot::now();
-        let left = deadline.left(now);
-        if !waits || left.is_zero() {
-            // A result may stand at this position that was not read yet.
-            if waits && !shared.contacts.borrow().ledger.is_within(SURE, now) {
+        // A result may stand at this position that was not read yet.
+        let sure = shared.contacts.borrow().jobs.is_within(SURE, now);
+        let until = match waits {
+            true if sure => deadline,
+            true => deadline.max(asked + KNOWN),
+            false if shared.jobs_interest.is_current() => asked,
+            false => asked + CATCH_UP,
+        };
+        let left = until.left(now);
+        if left.is_zero() {
+            if waits && !sure {
                 event!("results_unsure", "job" => job, "after" => after);
                 return come_back(super::admit::ELSEWHERE);
             }
@@ -266,9 +278,9 @@
     }
     let deadline = Boot::now() + ACCEPT;
     let outcome = shared
-        .writer
+        .job_writer
         .write(
-            &Record::End {
+            &JobEvent::End {
                 job: job.to_owned(),
             },
             deadline,
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -58,11 +58,15 @@
 /// A log of the instances' own in the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Log {
-    /// What every instance follows: jobs, results, leases.
+    /// What every instance follows: leases and usage windows.
     Ledger,
-    /// Signs of life, which every instance follows too. The store takes a partition's appends
-    /// one after the other, so those of all instances would hold up the ledger's.
-    Signs,
+    /// Jobs and results, followed by leaders and read by whoever is asked about a job.
+    Jobs,
+    /// Signs of life by partition, of which an instance follows its own. The store takes a
+    /// partition's appends one after the other.
+    Signs(u32),
+    /// Requests that instances counted, followed by the one that reports usage.
+    Counters,
     /// Contents of jobs and texts of results, read by whoever needs them.
     Payloads,
     /// Unfinished texts, read by an instance that becomes a service's leader.
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -4,20 +4,35 @@
 use std::time::Duration;
 
 use serde::de::DeserializeOwned;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use super::edge::{Log, OperatorNews, Page, STORE_ANSWER, STORE_PAUSE, ServerNews, StoreError};
+use super::edge::{Log, OperatorNews, Page, STORE_ANSWER, ServerNews, StoreError};
 use super::events::event;
+use super::leases::{is_standby, leads_service};
+use super::retry::Retry;
+use super::trim::Trimmer;
+use super::{leases, signs};
 use crate::boot::Boot;
-use crate::ledger::record::{Decoder, Record, Sign};
+use crate::ledger::record::{Counted, Decoder, JobEvent, Record, Sign, Subject};
 
 /// Time for which the store holds a read until there is something new.
 ///
 /// Half a second bounds the age of what an instance knows, at two calls a second.
 const HOLD: Duration = Duration::from_millis(500);
-/// Pause between two reads of the log, so that records gather.
-const LEDGER_PACE: Duration = Duration::from_millis(40);
+/// Pause between two reads of a log that this instance acts on, so that records gather.
+const LEADER_PACE: Duration = Duration::from_millis(40);
+/// Pause between two reads of the ledger where this instance holds no lease.
+const LEDGER_PACE: Duration = Duration::from_millis(300);
+/// Time between two looks at whether a log that is read on demand is to be followed.
+const DEMAND_LOOK: Duration = Duration::from_millis(200);
+/// Time for which signs of life are kept: what a process that starts reads of them.
+const SIGNS_KEPT: Duration = Duration::from_secs(6);
+/// Time for which counters are kept: longer than a usage window takes to be fixed.
+const COUNTERS_KEPT: Duration = Duration::from_secs(20);
+/// Time between two deletions of old records of a log.
+const TRIM_PACE: Duration = Duration::from_secs(4);
 /// Pause between two reads of the signs of life, which come all the time.
 const SIGNS_PACE: Duration = Duration::from_millis(400);
 /// Pause between two reads of the registry, whose entries change about every second.
@@ -66,11 +81,13 @@
 pub async fn operator(shared: Rc<Shared>) {
     let mut watch = Watch::new("operator");
     let mut next = None;
+    let mut retry = Retry::default();
     loop {
         let sent = Boot::now();
         match read(shared.store.operator(next, HOLD)).await {
             Ok(page) => {
                 watch.answered();
+                retry.answered();
                 for (_, news) in page.items {
                     take_operator(&shared, news);
                 }
@@ -88,7 +105,7 @@
                 if matches!(error, StoreError::Expired { .. }) {
                     next = None;
                 }
-                sleep(STORE_PAUSE).await;
+                sleep(retry.failed(&error, rand::random())).await;
             }
         }
     }
@@ -123,11 +140,13 @@
 pub async fn servers(shared: Rc<Shared>) {
     let mut watch = Watch::new("servers");
     let mut next = None;
+    let mut retry = Retry::default();
     loop {
         let sent = Boot::now();
         match read(shared.store.servers(next, HOLD)).await {
             Ok(page) => {
                 watch.answered();
+                retry.answered();
                 next = Some(page.next);
                 let now = Boot::now();
                 if page.next >= page.end {
@@ -141,7 +160,7 @@
                 if matches!(error, StoreError::Expired { .. }) {
                     next = None;
                 }
-                sleep(STORE_PAUSE).await;
+                sleep(retry.failed(&error, rand::random())).await;
             }
         }
     }
@@ -180,27 +199,33 @@
     /// Records before they are put together, and their bytes.
     pieces: usize,
     bytes: usize,
+    /// Offset of the next record.
+    next: u64,
     /// Whether the log had no more.
     is_last: bool,
 }
 
-/// Follows a log for ever: `apply` takes a record, and `done` is told of each page and gives the
-/// pause before the next read.
+/// Follows a log for ever: before each read `wanted` is waited for, `apply` takes a record,
+/// and `done` is told of each page and gives the pause after it.
 async fn follow<T: DeserializeOwned>(
     shared: &Shared,
     log: Log,
     stream: &'static str,
+    wanted: impl AsyncFn(),
     mut apply: impl FnMut(T, u64, Boot),
     mut done: impl FnMut(&Applied) -> Duration,
 ) {
     let mut watch = Watch::new(stream);
     let mut decoder = Decoder::default();
     let mut next = 0;
+    let mut retry = Retry::default();
     loop {
+        wanted().await;
         let sent = Boot::now();
-        match read(shared.store.read(log, next, usize::MAX, HOLD)).await {
+        match read(shared.store.read(log, next, retry.bytes(), HOLD)).await {
             Ok(page) => {
                 watch.answered();
+                retry.answered();
                 let received = Boot::now();
                 let pieces = page.items.len();
                 let bytes = page.items.iter().map(|(_, piece)| piece.len()).sum();
@@ -213,6 +238,7 @@
                     received,
                     pieces,
                     bytes,
+                    next,
                     is_last: page.next >= page.end,
                 });
                 if !pause.is_zero() {
@@ -226,13 +252,13 @@
             }
             Err(error) => {
                 watch.failed(&error);
-                sleep(STORE_PAUSE).await;
+                sleep(retry.failed(&error, rand::random())).await;
             }
         }
     }
 }
 
-/// What a process that starts has read of the ledger.
+/// What a process that starts has read of a log.
 #[derive(Default)]
 struct Start {
     pages: usize,
@@ -240,6 +266,14 @@
     bytes: usize,
 }
 
+impl Start {
+    fn add(&mut self, page: &Applied) {
+        self.pages += 1;
+        self.records += page.pieces;
+        self.bytes += page.bytes;
+    }
+}
+
 /// Follows the ledger.
 pub async fn ledger(shared: Rc<Shared>) {
     let started = Boot::now();
@@ -249,9 +283,7 @@
     };
     let done = |page: &Applied| {
         if let Some(start) = &mut start {
-            start.pages += 1;
-            start.records += page.pieces;
-            start.bytes += page.bytes;
+            start.add(page);
         }
         if page.is_last {
             let mut contacts = shared.contacts.borrow_mut();
@@ -264,25 +296,104 @@
         }
         shared.changed.notify_waiters();
         // A process that starts reads on until it has caught up.
+        match page.is_last && page.pieces > 0 {
+            true if leases::holds_any(&shared) => LEADER_PACE,
+            true => LEDGER_PACE,
+            false => Duration::ZERO,
+        }
+    };
+    follow(&shared, Log::Ledger, "ledger", async || {}, apply, done).await;
+}
+
+/// Follows the log of jobs while this instance leads a service, would be the next to lead
+/// one, or is asked about a job.
+pub async fn jobs(shared: Rc<Shared>) {
+    let interest = &shared.jobs_interest;
+    let wanted = async || {
+        while !interest.is_asked() && !leads_service(&shared) && !is_standby(&shared) {
+            interest.set_current(false);
+            // It is looked at again either way.
+            let _ = timeout(DEMAND_LOOK, interest.asked()).await;
+        }
+    };
+    let apply = |event: JobEvent, _, _| shared.fold.borrow_mut().apply_job(event);
+    let mut behind: Option<Start> = None;
+    let done = |page: &Applied| {
+        if page.is_last {
+            let mut contacts = shared.contacts.borrow_mut();
+            contacts.jobs.note(page.sent, page.received);
+            interest.set_current(true);
+            if let Some(mut start) = behind.take() {
+                start.add(page);
+                event!("jobs_read", "pages" => start.pages, "records" => start.records,
+                    "bytes" => start.bytes);
+            }
+        } else {
+            behind.get_or_insert_default().add(page);
+        }
+        shared.changed.notify_waiters();
         if page.is_last && page.pieces > 0 {
-            LEDGER_PACE
+            LEADER_PACE
         } else {
             Duration::ZERO
         }
     };
-    follow(&shared, Log::Ledger, "ledger", apply, done).await;
+    follow(&shared, Log::Jobs, "jobs", wanted, apply, done).await;
 }
 
-/// Follows the instances' signs of life.
+/// Follows the signs of life of the instances in this one's partition.
 pub async fn signs(shared: Rc<Shared>) {
+    let log = Log::Signs(signs::partition(&shared.settings));
+    let mut trimmer = Trimmer::new(log, SIGNS_KEPT, TRIM_PACE);
     let apply = |sign: Sign, _, received| shared.members.borrow_mut().apply(sign, received);
+    let done = |page: &Applied| {
+        if !page.is_last {
+            return Duration::ZERO;
+        }
+        let contact = {
+            let mut contacts = shared.contacts.borrow_mut();
+            contacts.signs.note(page.sent, page.received);
+            contacts.signs
+        };
+        let members = shared.members.borrow();
+        let mut alive = members.alive(page.sent, contact.since, leases::SILENCE);
+        let is_first = alive
+            .next()
+            .is_some_and(|(name, _)| *name == shared.settings.name);
+        trim(&shared, &mut trimmer, page, is_first);
+        SIGNS_PACE
+    };
+    follow(&shared, log, "signs", async || {}, apply, done).await;
+}
+
+/// Follows the log of counters while this instance reports usage.
+pub async fn counters(shared: Rc<Shared>) {
+    let wanted = async || {
+        while !shared.leads(&Subject::Usage) {
+            sleep(DEMAND_LOOK).await;
+        }
+    };
+    let mut trimmer = Trimmer::new(Log::Counters, COUNTERS_KEPT, TRIM_PACE);
+    let apply = |counted: Counted, _, received| {
+        shared.counters.borrow_mut().apply(counted, received);
+    };
     let done = |page: &Applied| {
         if !page.is_last {
             return Duration::ZERO;
         }
         let mut contacts = shared.contacts.borrow_mut();
-        contacts.signs.note(page.sent, page.received);
+        contacts.counters.note(page.sent, page.received);
+        trim(&shared, &mut trimmer, page, true);
         SIGNS_PACE
     };
-    follow(&shared, Log::Signs, "signs", apply, done).await;
+    follow(&shared, Log::Counters, "counters", wanted, apply, done).await;
+}
+
+/// Notes how far a log was read, and deletes what is old if that is up to this instance.
+fn trim(shared: &Rc<Shared>, trimmer: &mut Trimmer, page: &Applied, is_own: bool) {
+    trimmer.note(page.received, page.next);
+    if let Some(trim) = trimmer.due(page.received).filter(|_| is_own) {
+        let shared = Rc::clone(shared);
+        spawn_local(async move { trim.run(&shared).await });
+    }
 }
--- a/src/instance/leases.rs
+++ b/src/instance/leases.rs
@@ -29,15 +29,21 @@
     if shared.settings.duties.usage {
         subjects.push(Subject::Usage);
     }
-    let deployment = shared.deployment();
-    for (name, service) in deployment.iter().flat_map(|known| &known.services) {
-        if service.engine.is_some() {
-            subjects.push(Subject::Service(name.clone()));
-        }
-    }
+    subjects.extend(services(shared));
     subjects
 }
 
+/// The leases of services that make samples.
+fn services(shared: &Shared) -> impl Iterator<Item = Subject> {
+    let deployment = shared.deployment();
+    let known = deployment.iter().flat_map(|known| &known.services);
+    let engines = known.filter(|(_, service)| service.engine.is_some());
+    let subjects: Vec<Subject> = engines
+        .map(|(name, _)| Subject::Service(name.clone()))
+        .collect();
+    subjects.into_iter()
+}
+
 /// Claims leases as they fall free, for ever.
 pub async fn run(shared: Rc<Shared>) {
     loop {
@@ -51,6 +57,35 @@
     }
 }
 
+/// Whether this process holds a lease, in time or not.
+#[must_use]
+pub fn holds_any(shared: &Shared) -> bool {
+    let fold = shared.fold.borrow();
+    let mut leases = fold.leases.values();
+    leases.any(|lease| lease.incarnation == shared.incarnation && !lease.released)
+}
+
+/// Whether this process leads a service.
+#[must_use]
+pub fn leads_service(shared: &Shared) -> bool {
+    let mut subjects = services(shared);
+    subjects.any(|subject| shared.leads(&subject))
+}
+
+/// Whether this instance would be among the first to claim a service's lease.
+///
+/// Instances that start together know only themselves at first.
+#[must_use]
+pub fn is_standby(shared: &Shared) -> bool {
+    let contact = shared.contacts.borrow().signs;
+    let settled = contact.since + SILENCE;
+    if contact.seen.is_none_or(|seen| seen < settled) {
+        return false;
+    }
+    let mut subjects = services(shared);
+    subjects.any(|subject| before(shared, &subject) == 0)
+}
+
 async fn claim(shared: &Shared, subject: Subject) {
     let contact = shared.contacts.borrow().ledger;
     let Some(seen) = contact.seen.filter(|_| shared.is_ready(Boot::now())) else {
@@ -107,6 +142,12 @@
 /// Keeps claimants apart: the instance with the largest share of a core claims first, and
 /// among equals the one that ranks first for the subject.
 fn stagger(shared: &Shared, subject: &Subject) -> Duration {
+    let before = u32::try_from(before(shared, subject)).unwrap_or(u32::MAX);
+    STAGGER.saturating_mul(before).min(STAGGER_MAX)
+}
+
+/// Instances of this one's partition of signs that claim a lease before it.
+fn before(shared: &Shared, subject: &Subject) -> usize {
     let contact = shared.contacts.borrow().signs;
     let seen = contact.seen.unwrap_or_default();
     let members = shared.members.borrow();
@@ -114,8 +155,7 @@
     let own = place(shared.settings.capacity, &shared.settings.name);
     let alive = members.alive(seen, contact.since, SILENCE);
     let before = alive.filter(|(name, member)| member.ready && place(member.capacity, name) < own);
-    let before = u32::try_from(before.count()).unwrap_or(u32::MAX);
-    STAGGER.saturating_mul(before).min(STAGGER_MAX)
+    before.count()
 }
 
 /// Gives up all leases of this process.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -1,15 +1,18 @@
 //! One process of an instance on a platform: callers' requests, jobs, and duties under leases.
 
 pub mod contact;
+pub mod counters;
 pub mod deployment;
 pub mod directory;
 pub mod edge;
 pub mod events;
 pub mod fleet;
 pub mod follow;
+pub mod interest;
 pub mod leases;
 pub mod metrics;
 pub mod payloads;
+pub mod retry;
 pub mod run;
 pub mod settings;
 pub mod signs;
@@ -23,6 +26,7 @@
 use tokio::sync::Notify;
 
 use crate::boot::Boot;
+use crate::ledger::counters::Counters;
 use crate::ledger::fold::Fold;
 use crate::ledger::members::Members;
 use crate::ledger::record::{Counts, Incarnation, Subject};
@@ -34,6 +38,7 @@
 use deployment::Deployment;
 use edge::{Backend, Cloud, Dialect, Holder, Store};
 use fleet::Fleet;
+use interest::Interest;
 use metrics::Metrics;
 use payloads::Payloads;
 use settings::InstanceSettings;
@@ -50,8 +55,12 @@
     pub servers: Contact,
     /// The ledger.
     pub ledger: Contact,
-    /// The log of signs.
+    /// The log of jobs.
+    pub jobs: Contact,
+    /// The partition of the log of signs that this instance follows.
     pub signs: Contact,
+    /// The log of counters.
+    pub counters: Contact,
 }
 
 /// State that all tasks of the process share.
@@ -73,10 +82,14 @@
     pub named: RefCell<BTreeMap<String, u64>>,
     /// Backend servers.
     pub fleet: RefCell<Fleet>,
-    /// The state folded from the ledger.
+    /// The state folded from the ledger and the log of jobs.
     pub fold: RefCell<Fold>,
-    /// The instances, from the log of signs.
+    /// The instances that share this one's partition of the log of signs.
     pub members: RefCell<Members>,
+    /// Requests that instances counted.
+    pub counters: RefCell<Counters>,
+    /// Who needs the log of jobs at the moment.
+    pub jobs_interest: Interest,
     /// Contact with the store.
     pub contacts: RefCell<Contacts>,
     /// Told when the fold, the fleet, the named versions or the configuration changed.
@@ -87,8 +100,12 @@
     pub renew: Notify,
     /// Appends to the ledger.
     pub writer: Writer,
-    /// Appends to the log of signs.
+    /// Appends to the log of jobs.
+    pub job_writer: Writer,
+    /// Appends to this instance's partition of the log of signs.
     pub sign_writer: Writer,
+    /// Appends to the log of counters.
+    pub counter_writer: Writer,
     /// Contents of jobs and texts of results.
     pub payloads: Payloads,
     /// Appends to the log of drafts.
@@ -170,6 +187,7 @@
             near: backend.zone == self.settings.zone,
             suspect: self.load.is_suspect(&backend.id, now),
             tried: tried.contains(&backend.id),
+            link: self.pool.link(backend, now),
         };
         let candidates: Vec<Candidate> = usable.iter().map(candidate).collect();
         choose(&candidates, rand::random()).map(|at| Rc::clone(usable[at]))
@@ -181,6 +199,13 @@
         self.fleet.borrow().usable(service, Boot::now()).count()
     }
 
+    /// Instances in all, as far as can be told from those of its own partition of signs.
+    #[must_use]
+    pub fn instances(&self) -> usize {
+        let partitions = signs::partitions(&self.settings);
+        self.members.borrow().known.len().max(1) * partitions
+    }
+
     /// Connections that this instance may open to one server of a service.
     ///
     /// Instances share what a server accepts; an engine's servers are driven by one of them.
@@ -193,8 +218,7 @@
         let Some(service) = service else {
             return 1;
         };
-        let members = self.members.borrow().known.len().max(1);
-        let share = service.connections / (members + 1);
+        let share = service.connections / (self.instances() + 1);
         if service.engine.is_some() {
             service.connections / 2
         } else {
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -14,10 +14,11 @@
 
 use super::edge::{Cloud, Dialect, Log, Store};
 use super::events::{self, event};
+use super::interest::Interest;
 use super::metrics::Metrics;
 use super::payloads::Payloads;
 use super::settings::InstanceSettings;
-use super::{Contacts, Shared, directory, follow, leases, signs};
+use super::{Contacts, Shared, counters, directory, follow, leases, signs};
 use crate::boot::Boot;
 use crate::drive::Driver;
 use crate::duty::{scale, usage};
@@ -98,11 +99,14 @@
     spawn_local(follow::operator(Rc::clone(&shared)));
     spawn_local(follow::servers(Rc::clone(&shared)));
     spawn_local(follow::ledger(Rc::clone(&shared)));
+    spawn_local(follow::jobs(Rc::clone(&shared)));
     spawn_local(follow::signs(Rc::clone(&shared)));
     let call_bytes = shared.settings.call_bytes;
     let writers = [
         &shared.writer,
+        &shared.job_writer,
         &shared.sign_writer,
+        &shared.counter_writer,
         &shared.payloads.writer,
         &shared.draft_writer,
     ];
@@ -122,6 +126,8 @@
         spawn_local(scale::run(Rc::clone(&shared)));
     }
     if shared.settings.duties.usage {
+        spawn_local(counters::run(Rc::clone(&shared)));
+        spawn_local(follow::counters(Rc::clone(&shared)));
         spawn_local(usage::run(Rc::clone(&shared)));
     }
     spawn_local(reload(
@@ -136,7 +142,12 @@
 fn shared(settings: InstanceSettings, platform: Platform) -> Result<Rc<Shared>, StartError> {
     Ok(Rc::new(Shared {
         writer: Writer::new(Log::Ledger, settings.record_bytes),
-        sign_writer: Writer::new(Log::Signs, settings.record_bytes),
+        job_writer: Writer::new(Log::Jobs, settings.record_bytes),
+        sign_writer: Writer::new(
+            Log::Signs(signs::partition(&settings)),
+            settings.record_bytes,
+        ),
+        counter_writer: Writer::new(Log::Counters, settings.record_bytes),
         payloads: Payloads::new(Writer::new(Log::Payloads, settings.record_bytes)),
         draft_writer: Writer::new(Log::Drafts, settings.record_bytes),
         settings,
@@ -149,6 +160,8 @@
         fleet: RefCell::default(),
         fold: RefCell::new(Fold::default()),
         members: RefCell::default(),
+        counters: RefCell::default(),
+        jobs_interest: Interest::default(),
         contacts: RefCell::new(Contacts::default()),
         changed: Notify::new(),
         sign: Notify::new(),
@@ -222,7 +235,13 @@
     loop {
         sleep(LOOK).await;
         let now = Boot::now();
-        let written = shared.writer.is_idle() && shared.payloads.writer.is_idle();
+        let writers = [
+            &shared.writer,
+            &shared.job_writer,
+            &shared.payloads.writer,
+            &shared.counter_writer,
+        ];
+        let written = writers.into_iter().all(Writer::is_idle);
         let idle = shared.active.get() == 0 && written;
         if now >= last || (now >= expected && idle) {
             break;
--- a/src/instance/settings.rs
+++ b/src/instance/settings.rs
@@ -10,6 +10,10 @@
     pub name: String,
     /// Availability zone.
     pub zone: String,
+    /// All availability zones, in order.
+    pub zones: Vec<String>,
+    /// Partitions of a log of the store.
+    pub partitions: u32,
     /// Address for callers' requests.
     pub front: Option<SocketAddr>,
     /// Address of the readiness check.
--- a/src/instance/signs.rs
+++ b/src/instance/signs.rs
@@ -7,43 +7,62 @@
 use tokio::time::timeout;
 
 use super::Shared;
-use super::edge::Log;
-use super::trim::Trimmer;
+use super::settings::InstanceSettings;
 use crate::boot::Boot;
 use crate::ledger::record::{Record, Renewal, Sign, Subject};
-use crate::util::{millis, unix_ms};
 
 /// Time between two renewals: four within the time for which a lease is held.
 const RENEW_PACE: Duration = Duration::from_millis(400);
-/// Time between two signs of life.
+/// Shortest time between two signs of life.
 const SIGN_PACE: Duration = Duration::from_millis(800);
-/// Usage windows whose counters are sent along.
-const WINDOWS_SENT: u64 = 4;
+/// Longest time between two signs of life: two of them fit into the silence after which an
+/// instance counts as gone.
+const SIGN_PACE_MAX: Duration = Duration::from_millis(1200);
+/// Time that a partition has for each sign of life: twice what the platform states for an
+/// append.
+const SIGN_SHARE: Duration = Duration::from_millis(8);
 /// Renewals whose times are remembered.
 const RENEWALS_KEPT: usize = 64;
 
-/// Time for which signs of life are kept: longer than a usage window takes to be fixed.
-const KEPT: Duration = Duration::from_secs(20);
-/// Time between two deletions of old signs of life.
-const TRIM_PACE: Duration = Duration::from_secs(10);
+/// Partitions that signs of life are spread over: one for each availability zone, if the
+/// store has as many.
+#[must_use]
+pub fn partitions(settings: &InstanceSettings) -> usize {
+    let most = usize::try_from(settings.partitions).unwrap_or(usize::MAX);
+    settings.zones.len().clamp(1, most.max(1))
+}
+
+/// The partition of this instance's signs of life.
+///
+/// The load pattern: hundreds of instances sign about once a second, and each reads what it
+/// follows of that. Callers are sent to instances of their own availability zone, so that an
+/// instance needs to know those of its own only.
+#[must_use]
+pub fn partition(settings: &InstanceSettings) -> u32 {
+    let zones = settings.zones.iter();
+    let at = zones.clone().position(|zone| *zone == settings.zone);
+    let part = at.unwrap_or_default() % partitions(settings);
+    u32::try_from(part).unwrap_or_default()
+}
+
+/// Time between two signs of life where `count` instances share a partition.
+#[must_use]
+pub fn pace(count: usize) -> Duration {
+    let count = u32::try_from(count).unwrap_or(u32::MAX);
+    SIGN_SHARE
+        .saturating_mul(count)
+        .clamp(SIGN_PACE, SIGN_PACE_MAX)
+}
 
 /// Writes signs of life, for ever.
 pub async fn sign(shared: Rc<Shared>) {
-    let mut trimmer = Trimmer::new(Log::Signs, KEPT, TRIM_PACE);
     loop {
         let made = Boot::now();
         // The next one waits for this one, so that none pile up while the store is away; an
         // error means that the process ends.
-        if let Ok(ack) = shared.sign_writer.push(&own_sign(&shared)).await {
-            trimmer.note(made, ack.offset);
-        }
-        // One or two instances hold a lease, which is enough to delete old signs.
-        if let Some(trim) = trimmer.due(made)
-            && !own_leases(&shared).is_empty()
-        {
-            trim.run(&shared).await;
-        }
-        let left = (made + SIGN_PACE).left(Boot::now());
+        let _ = shared.sign_writer.push(&own_sign(&shared)).await;
+        let pace = pace(shared.members.borrow().known.len());
+        let left = (made + pace).left(Boot::now());
         // Whichever comes first.
         let _ = timeout(left, shared.sign.notified()).await;
     }
@@ -91,10 +110,6 @@
 }
 
 fn own_sign(shared: &Shared) -> Sign {
-    let wall = unix_ms();
-    let window = wall / millis(shared.settings.bounds.window).max(1);
-    let mut usage = shared.usage.borrow_mut();
-    *usage = usage.split_off(&window.saturating_sub(WINDOWS_SENT));
     Sign {
         node: shared.settings.name.clone(),
         incarnation: shared.incarnation.clone(),
@@ -102,7 +117,5 @@
         zone: shared.settings.zone.clone(),
         ready: shared.is_ready(Boot::now()),
         capacity: shared.settings.capacity,
-        wall,
-        counts: usage.clone(),
     }
 }
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -1,8 +1,8 @@
-//! The fold of the ledger: leases, jobs and usage windows.
+//! The folds of the ledger and of the log of jobs: leases, usage windows, jobs.
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::record::{Counts, Incarnation, Record, Renewal, Subject};
+use super::record::{Counts, Incarnation, JobEvent, Record, Renewal, Subject};
 use crate::boot::Boot;
 use crate::job::Jobs;
 
@@ -28,7 +28,7 @@
     pub released: bool,
 }
 
-/// The state that every instance folds from the ledger alike.
+/// The state that every instance folds from the logs alike.
 #[derive(Debug, Default)]
 pub struct Fold {
     /// Leases by subject.
@@ -40,7 +40,16 @@
 }
 
 impl Fold {
-    /// Applies the record at `offset`, read at `received`.
+    /// Applies a record of the log of jobs.
+    pub fn apply_job(&mut self, event: JobEvent) {
+        match event {
+            JobEvent::Job(job) => self.jobs.accept(*job),
+            JobEvent::Listed { job, result } => self.jobs.list(&job, result),
+            JobEvent::End { job } => self.jobs.end(&job),
+        }
+    }
+
+    /// Applies the ledger's record at `offset`, read at `received`.
     pub fn apply(&mut self, record: Record, offset: u64, received: Boot) {
         match record {
             Record::Renewal(renewal) => self.renew(&renewal, offset, received),
@@ -68,9 +77,6 @@
                     lease.last = offset;
                 }
             }
-            Record::Job(job) => self.jobs.accept(*job),
-            Record::Listed { job, result } => self.jobs.list(&job, result),
-            Record::End { job } => self.jobs.end(&job),
             Record::Window { window, counts } => {
                 self.windows.entry(window).or_insert((counts, false));
                 while self.windows.len() > WINDOWS_KEPT {
--- a/src/ledger/members.rs
+++ b/src/ledger/members.rs
@@ -1,15 +1,12 @@
-//! The fold of the log of signs: living instances, and the requests that they counted.
+//! The fold of the log of signs: the living instances of a partition.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::record::{Counts, Incarnation, Sign};
+use super::record::{Incarnation, Sign};
 use crate::boot::Boot;
 
-/// Usage windows before the newest one whose counters are remembered.
-const WINDOWS_KEPT: u64 = 16;
-
 /// An instance as its last sign of life shows it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -23,8 +20,6 @@
     pub ready: bool,
     /// When its last sign of life was read here.
     pub heard: Boot,
-    /// Unix time in milliseconds at which that was written.
-    pub wall: u64,
     /// Share of a core that the process gets, in thousandths.
     pub capacity: u32,
 }
@@ -34,46 +29,22 @@
 pub struct Members {
     /// Instances by name.
     pub known: BTreeMap<String, Member>,
-    /// Counters by window and writer.
-    counters: BTreeMap<u64, HashMap<Incarnation, Counts>>,
 }
 
 impl Members {
     /// Applies a sign of life that was read at `received`.
     pub fn apply(&mut self, sign: Sign, received: Boot) {
-        for (window, counts) in sign.counts {
-            let counters = self.counters.entry(window).or_default();
-            counters.insert(sign.incarnation.clone(), counts);
-        }
-        if let Some((newest, _)) = self.counters.last_key_value() {
-            let oldest = newest.saturating_sub(WINDOWS_KEPT);
-            self.counters = self.counters.split_off(&oldest);
-        }
         let member = Member {
             incarnation: sign.incarnation,
             front: sign.front,
             zone: sign.zone,
             ready: sign.ready,
             heard: received,
-            wall: sign.wall,
             capacity: sign.capacity,
         };
         self.known.insert(sign.node, member);
     }
 
-    /// Figures of a usage window as counted so far.
-    #[must_use]
-    pub fn counted(&self, window: u64) -> Counts {
-        let mut sum = Counts::new();
-        let counters = self.counters.get(&window);
-        for counts in counters.into_iter().flat_map(HashMap::values) {
-            for (tenant, count) in counts {
-                *sum.entry(tenant.clone()).or_default() += count;
-            }
-        }
-        sum
-    }
-
     /// Instances that were heard within `limit` before `seen`, by name.
     ///
     /// `seen` is when the log was last read to its end, and `since` when reads began to
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -1,6 +1,7 @@
 //! The instances' logs in the platform's store: records, their folds, leases and the writer.
 
 pub mod ages;
+pub mod counters;
 pub mod drafts;
 pub mod fold;
 pub mod lease;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -61,6 +61,13 @@
     pub ready: bool,
     /// Share of a core that the process gets, in thousandths.
     pub capacity: u32,
+}
+
+/// Requests that an instance counted; a record of the log of counters.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Counted {
+    /// The writer.
+    pub incarnation: Incarnation,
     /// Unix time in milliseconds at which it was written.
     pub wall: u64,
     /// Requests that began to run, by usage window, since the start of the process.
@@ -116,6 +123,23 @@
         /// Its fencing number.
         fence: u64,
     },
+    /// Fixes the figures of a usage window.
+    Window {
+        /// Number of the window.
+        window: u64,
+        /// Its figures.
+        counts: Counts,
+    },
+    /// A window's figures were taken by the platform.
+    Reported {
+        /// Number of the window.
+        window: u64,
+    },
+}
+
+/// A record of the log of jobs.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum JobEvent {
     /// Accepts a job.
     Job(Box<JobRecord>),
     /// Lists the result of an item.
@@ -130,18 +154,6 @@
         /// The job.
         job: String,
     },
-    /// Fixes the figures of a usage window.
-    Window {
-        /// Number of the window.
-        window: u64,
-        /// Its figures.
-        counts: Counts,
-    },
-    /// A window's figures were taken by the platform.
-    Reported {
-        /// Number of the window.
-        window: u64,
-    },
 }
 
 /// Marks a record that stands in one piece, or the last piece of one.
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -1,7 +1,9 @@
 //! Which backend server takes a request, and what to do when one did not serve it.
 //!
 //! The load patterns: a server that fell silent or slow among sound ones, servers that turn
-//! requests away because they are full, and callers who wait for an answer meanwhile.
+//! requests away because they are full, and callers who wait for an answer meanwhile. Where
+//! hundreds of instances serve a few requests each, each keeps to servers that it is connected
+//! to, or nearly every request would open a connection.
 
 use std::time::Duration;
 
@@ -11,11 +13,23 @@
 const HEDGE_SHARE: f64 = 0.55;
 /// Shortest time after which a second server is asked as well.
 const HEDGE_MIN: Duration = Duration::from_millis(60);
+/// What a server without a kept connection costs more, in shares of its slots: a new
+/// connection takes the server's time and a place among those that it accepts.
+const COLD: f64 = 0.35;
 /// Rounds of refusals by all servers after which a request is turned away.
 const FULL_ROUNDS: u32 = 3;
 /// Time after which a caller who was turned away may come back.
 pub const COME_BACK: Duration = Duration::from_millis(200);
 
+/// A connection to a backend server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Link {
+    /// One that is kept and idle.
+    Kept,
+    /// One that is to be made.
+    New,
+}
+
 /// A backend server that may take a request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Candidate {
@@ -29,6 +43,8 @@
     pub suspect: bool,
     /// Whether this request was sent there before.
     pub tried: bool,
+    /// The connection that the request would take.
+    pub link: Link,
 }
 
 /// Chooses a server; `draw` in `0..1` breaks ties.
@@ -39,7 +55,11 @@
         let far = if option.near { 0.0 } else { 0.3 };
         let suspect = if option.suspect { 10.0 } else { 0.0 };
         let tried = if option.tried { 5.0 } else { 0.0 };
-        load + far + suspect + tried
+        let cold = match option.link {
+            Link::Kept => 0.0,
+            Link::New => COLD,
+        };
+        load + far + suspect + tried + cold
     };
     let least = options.iter().map(cost).min_by(f64::total_cmp)?;
     let all = options.iter().enumerate();
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::choose::Link;
 use crate::boot::Boot;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
@@ -56,6 +57,16 @@
     address: SocketAddr,
 }
 
+impl Key {
+    fn of(backend: &Backend) -> Self {
+        Self {
+            id: backend.id.clone(),
+            born: backend.born,
+            address: backend.address,
+        }
+    }
+}
+
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     expires: Boot,
@@ -153,11 +164,7 @@
     /// # Errors
     /// [`PoolError`]; nothing was sent.
     pub async fn lane(&self, backend: &Backend, limit: usize) -> Result<Lane, PoolError> {
-        let key = Key {
-            id: backend.id.clone(),
-            born: backend.born,
-            address: backend.address,
-        };
+        let key = Key::of(backend);
         if let Some(sender) = self.kept(&key) {
             return Ok(Lane {
                 pool: self.clone(),
@@ -195,6 +202,21 @@
         })
     }
 
+    /// The connection that a request to a backend server would take.
+    #[must_use]
+    pub fn link(&self, backend: &Backend, now: Boot) -> Link {
+        let slots = self.slots.borrow();
+        let mut idle = slots
+            .get(&Key::of(backend))
+            .into_iter()
+            .flat_map(|slots| &slots.idle);
+        if idle.any(|idle| idle.expires > now) {
+            Link::Kept
+        } else {
+            Link::New
+        }
+    }
+
     fn kept(&self, key: &Key) -> Option<SendRequest<Full<Bytes>>> {
         let mut slots = self.slots.borrow_mut();
         let slots = slots.get_mut(key)?;
--- a/tests/instance/fold.rs
+++ b/tests/instance/fold.rs
@@ -3,12 +3,14 @@
 use std::collections::BTreeMap;
 
 use basillead::job::{Extent, Item, ItemEnd, JobRecord, Jobs, Listed, Part};
+use basillead::ledger::counters::Counters;
 use basillead::ledger::fold::Fold;
-use basillead::ledger::members::Members;
-use basillead::ledger::record::{Decoder, Incarnation, Record, Renewal, Sign, Subject, encode};
+use basillead::ledger::record::{
+    Counted, Decoder, Incarnation, JobEvent, Record, Renewal, Subject, encode,
+};
 use proptest::prelude::*;
 
-use crate::at;
+use crate::{at, ms};
 
 pub(crate) fn item(id: &str, group: &str, hint: u64) -> Item {
     Item {
@@ -52,16 +54,11 @@
     }
 }
 
-pub(crate) fn sign(node: &str, wall: u64) -> Sign {
-    Sign {
-        node: node.to_owned(),
+fn counted(node: &str, wall: u64, window: u64, count: u64) -> Counted {
+    Counted {
         incarnation: Incarnation(format!("{node}-1")),
-        front: None,
-        zone: "z".to_owned(),
-        ready: true,
-        capacity: 500,
         wall,
-        counts: BTreeMap::new(),
+        counts: BTreeMap::from([(window, BTreeMap::from([("t".to_owned(), count)]))]),
     }
 }
 
@@ -95,14 +92,11 @@
 #[test]
 fn windows_keep_their_first_figure() {
     let mut fold = Fold::default();
-    let mut members = Members::default();
-    let mut first = sign("n1", 0);
-    first.counts = BTreeMap::from([(7, BTreeMap::from([("t".to_owned(), 3)]))]);
-    members.apply(first.clone(), at(0));
-    first.counts = BTreeMap::from([(7, BTreeMap::from([("t".to_owned(), 5)]))]);
-    members.apply(first, at(10));
-    assert_eq!(members.counted(7)["t"], 5, "counters are cumulative");
-    let counts = members.counted(7);
+    let mut counters = Counters::default();
+    counters.apply(counted("n1", 0, 7, 3), at(0));
+    counters.apply(counted("n1", 0, 7, 5), at(10));
+    assert_eq!(counters.counted(7)["t"], 5, "counters are cumulative");
+    let counts = counters.counted(7);
     fold.apply(Record::Window { window: 7, counts }, 2, at(20));
     let late = BTreeMap::from([("t".to_owned(), 9)]);
     fold.apply(
@@ -116,10 +110,24 @@
     assert_eq!(fold.windows[&7].0["t"], 5);
 }
 
+#[test]
+fn counters_behind_until_settled() {
+    let mut counters = Counters::default();
+    counters.apply(counted("n1", 8_100, 7, 3), at(100));
+    let is_behind = |counters: &Counters, now| counters.is_behind(7, 8_700, at(now), ms(2500));
+    assert!(is_behind(&counters, 500), "it may have counted more since");
+    assert!(!is_behind(&counters, 2700), "it has been silent for long");
+    counters.apply(counted("n1", 8_800, 7, 4), at(900));
+    assert!(!is_behind(&counters, 1000));
+    assert_eq!(counters.counted(7)["t"], 4);
+    counters.apply(counted("n1", 100_000, 99, 1), at(1000));
+    assert!(counters.counted(7).is_empty(), "old windows are forgotten");
+}
+
 #[test]
 fn records_in_pieces() {
     let items = (0..50).map(|n| item(&format!("i{n}"), "g", n)).collect();
-    let record = Record::Job(Box::new(job("j", 1, items)));
+    let record = JobEvent::Job(Box::new(job("j", 1, items)));
     let pieces = encode(&record, 100);
     assert!(pieces.len() > 10 && pieces.iter().all(|piece| piece.len() <= 100));
     let mut decoder = Decoder::default();
@@ -135,13 +143,13 @@
     assert_eq!(
         decoder.push(
             &encode(
-                &Record::End {
+                &JobEvent::End {
                     job: "j".to_owned()
                 },
                 100
             )[0]
         ),
-        Ok(Some(Record::End {
+        Ok(Some(JobEvent::End {
             job: "j".to_owned()
         }))
     );
--- a/tests/instance/load.rs
+++ b/tests/instance/load.rs
@@ -4,7 +4,7 @@
 
 use basillead::duty::capacity::{ZoneState, plan, wanted};
 use basillead::duty::usage::may_fix;
-use basillead::relay::choose::{Candidate, Ended, Limits, Next, after, choose};
+use basillead::relay::choose::{Candidate, Ended, Limits, Link, Next, after, choose};
 
 use crate::{at, ms};
 
@@ -15,9 +15,46 @@
         near,
         suspect: false,
         tried: false,
+        link: Link::Kept,
     }
 }
 
+fn cold(running: usize, near: bool) -> Candidate {
+    Candidate {
+        link: Link::New,
+        ..candidate(running, near)
+    }
+}
+
+/// Replays requests that come one after the other at an instance with thirty servers.
+#[test]
+fn choose_keeps_to_connected_servers() {
+    let mut servers = vec![cold(0, true); 30];
+    let mut opened = 0;
+    for n in 0..100 {
+        let draw = f64::from(n % 10) / 10.0;
+        let at = choose(&servers, draw).expect("a server");
+        opened += usize::from(servers[at].link == Link::New);
+        servers[at].link = Link::Kept;
+    }
+    assert_eq!(opened, 1, "each request finds the connection of the first");
+}
+
+/// Replays a burst: a connected server takes what it has room for, then others are connected.
+#[test]
+fn choose_opens_under_load() {
+    let mut servers = vec![cold(0, true); 4];
+    servers[2].link = Link::Kept;
+    for _ in 0..8 {
+        let at = choose(&servers, 0.0).expect("a server");
+        servers[at].running += 1;
+        // The connection is in use until the answer.
+        servers[at].link = Link::New;
+    }
+    let most = servers.iter().map(|server| server.running).max();
+    assert_eq!(most, Some(2), "spread over all: {servers:?}");
+}
+
 #[test]
 fn choose_near_until_loaded() {
     assert_eq!(
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod rounds;
 mod sample;
+mod traffic;
 mod writer;
 
 use std::time::Duration;
--- /dev/null
+++ b/tests/instance/traffic.rs
@@ -0,0 +1,167 @@
+//! Traffic with the store and callers' spread at hundreds of instances.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use basillead::instance::counters::{self, Written};
+use basillead::instance::directory::{Offer, choose};
+use basillead::instance::edge::StoreError;
+use basillead::instance::retry::Retry;
+use basillead::instance::signs;
+use basillead::ledger::record::Counts;
+
+use crate::ms;
+
+/// Time that a partition needs for an append, as the platform states it.
+const APPEND: Duration = Duration::from_millis(4);
+/// Silence after which an instance counts as gone.
+const SILENCE: Duration = Duration::from_millis(2500);
+
+fn unanswered() -> StoreError {
+    StoreError::Unanswered {
+        detail: "time is up".to_owned(),
+    }
+}
+
+#[test]
+fn signs_partition_takes_all() {
+    for count in [1, 9, 50, 100, 170] {
+        let pace = signs::pace(count);
+        let busy = APPEND * u32::try_from(count).expect("a small number");
+        assert!(
+            busy < pace,
+            "{count} instances keep a partition busy for {busy:?}"
+        );
+        assert!(
+            pace * 2 < SILENCE,
+            "two signs of life of {count} fit into a silence"
+        );
+    }
+}
+
+#[test]
+fn counters_log_takes_all() {
+    for count in [1, 9, 100, 300, 1000] {
+        let busy = APPEND * u32::try_from(count).expect("a small number");
+        assert!(busy <= counters::pace(count), "{count} instances");
+    }
+}
+
+/// What a killed instance loses is a small share of what all count in a window.
+#[test]
+fn counters_loss_is_small() {
+    for count in [9_u32, 77, 300] {
+        let window = Duration::from_secs(5) * count;
+        let lost = counters::pace(usize::try_from(count).expect("a small number"));
+        assert!(
+            lost.as_secs_f64() / window.as_secs_f64() < 0.05,
+            "{count} instances"
+        );
+    }
+}
+
+#[test]
+fn counters_written_when_new_or_settled() {
+    let counts = |count| BTreeMap::from([(7, Counts::from([("t".to_owned(), count)]))]);
+    let written = Written::default();
+    assert!(
+        !written.is_due(&BTreeMap::new(), 39_000, 5000),
+        "nothing was counted"
+    );
+    assert!(written.is_due(&counts(1), 39_000, 5000));
+    let written = Written::new(counts(1), 39_000);
+    assert!(!written.is_due(&counts(1), 40_500, 5000));
+    assert!(written.is_due(&counts(2), 40_500, 5000));
+    assert!(
+        written.is_due(&counts(1), 41_000, 5000),
+        "the window has settled"
+    );
+    let written = Written::new(counts(1), 41_000);
+    assert!(!written.is_due(&counts(1), 42_000, 5000), "once only");
+}
+
+/// Replays a store that answers none of hundreds of readers.
+#[test]
+fn retry_spreads_and_asks_for_less() {
+    let mut one = Retry::default();
+    let mut other = Retry::default();
+    let whole = one.bytes();
+    let first = one.failed(&unanswered(), 0.0);
+    assert_ne!(first, other.failed(&unanswered(), 0.9), "not in step");
+    for _ in 0..20 {
+        let pause = one.failed(&unanswered(), 0.5);
+        assert!(
+            pause <= ms(500),
+            "{pause:?}: withdrawn keys are known of in seconds"
+        );
+    }
+    assert!(one.failed(&unanswered(), 0.5) > first * 2, "pauses grow");
+    assert!(
+        one.bytes() <= whole / 16,
+        "a smaller answer ends in its time"
+    );
+    for _ in 0..8 {
+        one.answered();
+    }
+    assert_eq!(one, Retry::default());
+}
+
+#[test]
+fn retry_refusal_keeps_size() {
+    let mut retry = Retry::default();
+    let whole = retry.bytes();
+    let _ = retry.failed(&StoreError::Refused { status: 429 }, 0.5);
+    assert_eq!(retry.bytes(), whole);
+}
+
+fn offers(sizes: &[(u16, u32)], near: bool) -> Vec<Offer> {
+    let mut offers = Vec::new();
+    for (count, capacity) in sizes {
+        for _ in 0..*count {
+            let port = u16::try_from(offers.len()).expect("a port") + 1;
+            let zone = if near { 1 } else { 2 };
+            offers.push(Offer {
+                address: SocketAddr::from(([10, 0, zone, 1], port)),
+                near,
+                capacity: *capacity,
+            });
+        }
+    }
+    offers
+}
+
+/// Replays a zone of many small and a few large instances, under callers that pick at random.
+#[test]
+fn addresses_few_large_instances() {
+    let given = choose(offers(&[(11, 500), (40, 120)], true));
+    assert!((8..=11).contains(&given.len()), "{} given", given.len());
+    assert!(
+        given.iter().all(|address| address.port() <= 11),
+        "the large ones"
+    );
+}
+
+#[test]
+fn addresses_alike_instances() {
+    assert_eq!(
+        choose(offers(&[(3, 500)], true)).len(),
+        3,
+        "few are all given"
+    );
+    let given = choose(offers(&[(40, 500)], true)).len();
+    assert_eq!(given, 30, "three quarters serve three quarters");
+    assert_eq!(
+        choose(offers(&[(300, 500)], true)).len(),
+        64,
+        "no more than an answer holds"
+    );
+    assert!(choose(Vec::new()).is_empty());
+}
+
+#[test]
+fn addresses_of_other_zones_when_lonely() {
+    let mut all = offers(&[(1, 120)], true);
+    all.extend(offers(&[(4, 500)], false));
+    assert_eq!(choose(all).len(), 5, "one near instance is not enough");
+}
--- a/tests/instance/writer.rs
+++ b/tests/instance/writer.rs
@@ -7,7 +7,7 @@
 
 use basillead::boot::Boot;
 use basillead::instance::edge::{Batch, Log, OperatorNews, Page, ServerNews, Store, StoreError};
-use basillead::ledger::record::{Decoder, Incarnation, Record};
+use basillead::ledger::record::{Decoder, Incarnation, JobEvent};
 use basillead::ledger::writer::{Outcome, Writer};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -92,15 +92,15 @@
             .iter()
             .filter_map(|piece| decoder.push(piece).expect("a record"));
         let ended = whole.filter_map(|record| match record {
-            Record::End { job } => Some(job),
+            JobEvent::End { job } => Some(job),
             _ => None,
         });
         ended.collect()
     }
 }
 
-fn end(job: &str) -> Record {
-    Record::End {
+fn end(job: &str) -> JobEvent {
+    JobEvent::End {
         job: job.to_owned(),
     }
 }
@@ -115,7 +115,7 @@
         .build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let store = Rc::new(FakeStore::default());
-        let writer = Writer::new(Log::Ledger, 1000);
+        let writer = Writer::new(Log::Jobs, 1000);
         let shared: Rc<dyn Store> = Rc::clone(&store) as Rc<dyn Store>;
         let incarnation = Incarnation("w".to_owned());
         tokio::task::spawn_local(writer.clone().run(shared, incarnation, 4000));
