--- a/src/drive/takeover.rs
+++ b/src/drive/takeover.rs
@@ -20,6 +20,9 @@
 ///
 /// Making a long text again takes some seconds.
 const READ: Duration = Duration::from_millis(1500);
+/// Age of the last read of the log of jobs up to which it counts as followed: reads are held
+/// for half a second while there is nothing new.
+const FOLLOWED: Duration = Duration::from_millis(700);
 /// Longest time between two looks at how far the log of jobs was read.
 const JOBS_LOOK: Duration = Duration::from_millis(100);
 /// Time between two rounds of saving unfinished texts.
@@ -74,8 +77,8 @@
         let service = service.to_owned();
         tokio::task::spawn_local(async move {
             let started = Boot::now();
-            driver.jobs_read(started).await;
-            let read = timeout(READ, read(&driver.shared)).await;
+            let read = timeout(READ, read(&driver.shared));
+            let (read, ()) = tokio::join!(read, driver.jobs_read(started));
             let took = Boot::now().since(started).as_millis();
             match read {
                 Ok(saved) => {
@@ -95,16 +98,17 @@
         false
     }
 
-    /// Waits until the log of jobs has been read to its end by a read sent after `since`.
+    /// Waits until the log of jobs is followed to its end, as a standby does all the time, or
+    /// has been read to it by a read sent after `since`.
     async fn jobs_read(&self, since: Boot) {
         let shared = &self.shared;
-        while shared
-            .contacts
-            .borrow()
-            .jobs
-            .seen
-            .is_none_or(|seen| seen < since)
-        {
+        let is_known = || {
+            let contact = shared.contacts.borrow().jobs;
+            let followed =
+                shared.jobs_interest.is_current() && contact.is_within(FOLLOWED, Boot::now());
+            followed || contact.seen.is_some_and(|seen| seen >= since)
+        };
+        while !is_known() {
             // Contact is looked at again either way.
             let _ = timeout(JOBS_LOOK, shared.changed.notified()).await;
         }
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -23,7 +23,7 @@
 const HOLD: Duration = Duration::from_millis(500);
 /// Pause between two reads of a log that this instance acts on, so that records gather.
 const LEADER_PACE: Duration = Duration::from_millis(40);
-/// Pause between two reads of the ledger where this instance holds no lease.
+/// Pause between two reads of the ledger where this instance neither holds nor awaits a lease.
 const LEDGER_PACE: Duration = Duration::from_millis(300);
 /// Time between two looks at whether a log that is read on demand is to be followed.
 const DEMAND_LOOK: Duration = Duration::from_millis(200);
@@ -297,7 +297,7 @@
         shared.changed.notify_waiters();
         // A process that starts reads on until it has caught up.
         match page.is_last && page.pieces > 0 {
-            true if leases::holds_any(&shared) => LEADER_PACE,
+            true if leases::watches(&shared) => LEADER_PACE,
             true => LEDGER_PACE,
             false => Duration::ZERO,
         }
--- a/src/instance/leases.rs
+++ b/src/instance/leases.rs
@@ -58,8 +58,7 @@
 }
 
 /// Whether this process holds a lease, in time or not.
-#[must_use]
-pub fn holds_any(shared: &Shared) -> bool {
+fn holds_any(shared: &Shared) -> bool {
     let fold = shared.fold.borrow();
     let mut leases = fold.leases.values();
     leases.any(|lease| lease.incarnation == shared.incarnation && !lease.released)
@@ -72,18 +71,27 @@
     subjects.any(|subject| shared.leads(&subject))
 }
 
-/// Whether this instance would be among the first to claim a service's lease.
+/// Whether this instance would be among the first to claim one of the leases.
 ///
-/// Instances that start together know only themselves at first.
-#[must_use]
-pub fn is_standby(shared: &Shared) -> bool {
+/// `None` while it cannot tell: instances that start together know only themselves at first.
+fn is_next(shared: &Shared, subjects: impl IntoIterator<Item = Subject>) -> Option<bool> {
     let contact = shared.contacts.borrow().signs;
     let settled = contact.since + SILENCE;
-    if contact.seen.is_none_or(|seen| seen < settled) {
-        return false;
-    }
-    let mut subjects = services(shared);
-    subjects.any(|subject| before(shared, &subject) == 0)
+    contact.seen.filter(|seen| settled <= *seen)?;
+    let mut subjects = subjects.into_iter();
+    Some(subjects.any(|subject| before(shared, &subject) == 0))
+}
+
+/// Whether this instance is among those that keep ready to lead a service.
+#[must_use]
+pub fn is_standby(shared: &Shared) -> bool {
+    is_next(shared, services(shared)) == Some(true)
+}
+
+/// Whether this instance has to know of changes of leases at once.
+#[must_use]
+pub fn watches(shared: &Shared) -> bool {
+    holds_any(shared) || is_next(shared, subjects(shared)) != Some(false)
 }
 
 async fn claim(shared: &Shared, subject: Subject) {
