Measure a server's pace without a run's first event; let stragglers go on for the next round

Cause: the first event of a run comes with the head of its answer, and the time between the two, nothing, counted as the server's pace. A straggler's run was stopped at its round's end and begun again when the next round brought it; it goes on if its weights will do.

--- a/src/drive/carry.rs
+++ b/src/drive/carry.rs
@@ -4,8 +4,16 @@
 //! with a later round, which it does not end without them. Those are the groups with the
 //! longest samples, so the later round lasts as long as they do. It takes only newer weights:
 //! what older ones have made of such a sample until then is lost. So it is made anew as soon
-//! as newer weights have room for it, while the round that ends without it still runs.
+//! as newer weights have room for it, while the round that ends without it still runs, and
+//! goes on after that round's end until the later one takes it.
 
+use std::time::Duration;
+
+use crate::boot::Boot;
+
+/// Time after the end of its round for which a sample's run goes on: trainers need a second or
+/// so for their step before they submit what the round ended without.
+const LINGER: Duration = Duration::from_secs(2);
 /// Events by which a sample must outlast its round: estimates of lengths are rough.
 ///
 /// About half a second of an engine's work.
@@ -22,6 +30,27 @@
     pub left: f64,
 }
 
+/// A running sample whose round has ended without it.
+#[derive(Clone, Copy, Debug)]
+pub struct Straggler {
+    /// Oldest weight version that made events of it; none before the first event.
+    pub oldest: Option<u64>,
+    /// Oldest weight version that the round took.
+    pub min_version: u64,
+    /// The same of the later round that has it, once there is one.
+    pub later: Option<u64>,
+    /// When its round was seen to have ended.
+    pub ended: Boot,
+}
+
+/// Whether a straggler's run goes on: a later round takes what it makes, or may soon.
+#[must_use]
+pub fn lingers(straggler: &Straggler, now: Boot) -> bool {
+    let min = straggler.later.unwrap_or(straggler.min_version + 1);
+    let in_time = straggler.later.is_some() || now < straggler.ended + LINGER;
+    in_time && straggler.oldest.is_some_and(|oldest| oldest >= min)
+}
+
 /// Events that a sample still needs, of `expected` in all.
 #[must_use]
 pub fn left(expected: f64, done: usize) -> f64 {
--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::events::EventReader;
+use super::pace::Stopwatch;
 use super::sample::{Fit, Misfit, Sample};
 use crate::boot::Boot;
 use crate::instance::Shared;
@@ -164,7 +165,7 @@
     let weights = backend.weights.get(&task.model).copied();
     let mut version = reply.version.or(weights).unwrap_or_default();
     let mut reader = EventReader::default();
-    let mut before = Boot::now();
+    let mut stopwatch = Stopwatch::default();
     loop {
         let silence = if watch.is_loading(backend) {
             SILENCE_LOADING
@@ -188,7 +189,11 @@
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        for event in reader.push(&bytes) {
+        let events = reader.push(&bytes);
+        if let Some(span) = stopwatch.note(events.len(), Boot::now()) {
+            watch.paced(&backend.id, span);
+        }
+        for event in events {
             let announced = event
                 .other
                 .iter()
@@ -204,9 +209,6 @@
                 sample.replace(Sample::default());
                 return RunEnd::Broken;
             }
-            let now = Boot::now();
-            watch.paced(&backend.id, now.since(before));
-            before = now;
         }
     }
     if reader.is_partial() || sample.borrow().data.is_empty() {
--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -7,7 +7,7 @@
 
 use super::Driver;
 use super::item::{self, RunEnd, Task};
-use super::sample::Sample;
+use super::sample::{Fit, Sample};
 use crate::boot::Boot;
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
@@ -87,6 +87,17 @@
         self.0.borrow_mut().remove(item);
     }
 
+    /// The text of an item that is whole and was not listed, if it fits.
+    pub(super) fn whole(&self, item: &str, fit: Fit) -> Option<ItemText> {
+        let drafts = self.0.borrow();
+        let draft = drafts.get(item).filter(|draft| draft.whole.get())?;
+        let sample = draft.sample.borrow();
+        fit.takes(&sample.versions).then(|| ItemText {
+            output: Output::Made(sample.text()),
+            versions: sample.versions.clone(),
+        })
+    }
+
     /// Events that were made of an item.
     pub(super) fn events(&self, item: &str) -> usize {
         let drafts = self.0.borrow();
@@ -192,6 +203,12 @@
         draft.whole.set(true);
         driver.note_length(&task.model, &task.item, draft.sample.borrow().data.len());
         let key = (task.job.clone(), task.item.id.clone());
+        if driver.has_ended(&task.job) {
+            // The job that has the item now lists it.
+            driver.runs.borrow_mut().remove(&key);
+            driver.shared.changed.notify_waiters();
+            return;
+        }
         if let Some(run) = driver.runs.borrow_mut().get_mut(&key) {
             run.server = None;
         }
@@ -241,6 +258,11 @@
 }
 
 impl Driver {
+    fn has_ended(&self, job: &str) -> bool {
+        let fold = self.shared.fold.borrow();
+        fold.jobs.get(job).is_none_or(|job| job.ended)
+    }
+
     /// Has a whole text scored, and lists it.
     pub(super) async fn finish(&self, task: &Task, text: ItemText) {
         let (end, score) = match &task.content.scorer {
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -7,6 +7,7 @@
 mod make;
 pub mod moves;
 mod moving;
+pub mod pace;
 mod renew;
 pub mod sample;
 mod start;
@@ -30,7 +31,9 @@
 use crate::instance::leases;
 use crate::job::Job;
 use crate::ledger::drafts::SavedDrafts;
+use crate::ledger::fold::Fold;
 use crate::ledger::record::Subject;
+use carry::{Straggler, lingers};
 use make::Drafts;
 use moving::Board;
 use renew::Lengths;
@@ -59,6 +62,8 @@
     handle: Option<AbortHandle>,
     /// The server that makes its events, and since when; none while it is scored or listed.
     server: Option<(String, Boot)>,
+    /// When its job was seen to have ended.
+    ended: Option<Boot>,
 }
 
 /// What is known of a server beside its weights.
@@ -246,18 +251,38 @@
     /// Stops runs of items that are listed, of jobs that ended, and of services led elsewhere.
     fn stop_needless(&self) {
         let fold = self.shared.fold.borrow();
+        let now = Boot::now();
         let mut runs = self.runs.borrow_mut();
         runs.retain(|(job, item), run| {
             let wanted = fold.jobs.get(job).is_some_and(|known| {
-                !known.is_finished() && !known.done.contains(item) && self.leads(known)
+                let goes_on = !known.is_finished() || self.lingers(&fold, known, item, run, now);
+                goes_on && !known.done.contains(item) && self.leads(known)
             });
             if !wanted && let Some(handle) = &run.handle {
+                event!("item_stopped", "job" => job, "item" => item,
+                    "running" => run.server.is_some());
                 handle.abort();
             }
             wanted
         });
     }
 
+    /// Whether the run of an item goes on though its job has ended.
+    fn lingers(&self, fold: &Fold, job: &Job, item: &str, run: &mut Run, now: Boot) -> bool {
+        let ended = *run.ended.get_or_insert(now);
+        let mut later = fold
+            .jobs
+            .open()
+            .filter(|open| open.position(item).is_some());
+        let straggler = Straggler {
+            oldest: self.drafts.oldest(item),
+            min_version: job.record.min_version,
+            later: later.next().map(|later| later.record.min_version),
+            ended,
+        };
+        run.server.is_some() && lingers(&straggler, now)
+    }
+
     fn leads(&self, job: &Job) -> bool {
         let Some(deployment) = self.shared.deployment() else {
             return true;
--- a/src/drive/sample.rs
+++ b/src/drive/sample.rs
@@ -43,8 +43,17 @@
     #[must_use]
     pub fn allows(self, sample: &Sample, version: u64) -> bool {
         let same = sample.versions.iter().all(|known| *known == version);
-        let young = sample.versions.iter().all(|known| *known >= self.min);
-        young && version >= self.min && (same || !self.single)
+        self.is_young(&sample.versions) && version >= self.min && (same || !self.single)
+    }
+
+    /// Whether a whole text that `versions` made will do.
+    #[must_use]
+    pub fn takes(self, versions: &[u64]) -> bool {
+        self.is_young(versions) && (!self.single || versions.len() == 1)
+    }
+
+    fn is_young(self, versions: &[u64]) -> bool {
+        versions.iter().all(|known| *known >= self.min)
     }
 }
 
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -64,7 +64,8 @@
             min: driver.min_version(job, &item.id),
             single: route.single_version,
         };
-        if let Some(text) = earlier(&fold.jobs, job, &item.id, fit) {
+        let made = || driver.drafts.whole(&item.id, fit);
+        if let Some(text) = earlier(&fold.jobs, job, &item.id, fit).or_else(made) {
             let task = task(job, waiting.at, content, fit);
             spawn(driver, key(job, &item.id), None, |driver| async move {
                 driver.finish(&task, text).await;
@@ -107,11 +108,9 @@
     is_own: impl Fn(&Job) -> bool,
 ) -> Vec<Waiting<'a>> {
     let runs = driver.runs.borrow();
-    let running: HashSet<(&str, &str)> = runs
-        .keys()
-        .map(|(job, item)| (job.as_str(), item.as_str()))
-        .collect();
-    queue(jobs, is_own, |job, item| running.contains(&(job, item)))
+    // A run goes on for whichever job has its item now.
+    let running: HashSet<&str> = runs.keys().map(|(_, item)| item.as_str()).collect();
+    queue(jobs, is_own, |_, item| running.contains(item))
 }
 
 fn key(job: &Job, part: &str) -> Key {
@@ -181,9 +180,7 @@
     let listed = jobs
         .is_again(job, item)
         .then(|| jobs.earlier(&job.record.id, item))??;
-    let young = listed.versions.iter().all(|version| *version >= fit.min);
-    let fits = young && (!fit.single || listed.versions.len() == 1);
-    let extent = listed.text.filter(|_| fits)?;
+    let extent = listed.text.filter(|_| fit.takes(&listed.versions))?;
     Some(make::ItemText {
         output: Output::Stored(extent),
         versions: listed.versions.clone(),
@@ -223,6 +220,7 @@
     let run = Run {
         handle: Some(running.abort_handle()),
         server,
+        ended: None,
     };
     driver.runs.borrow_mut().insert(key, run);
 }
--- a/tests/instance/carry.rs
+++ b/tests/instance/carry.rs
@@ -1,9 +1,11 @@
 //! Groups that a trainer ends its round without, and submits again with a later one.
 
-use basillead::drive::carry::{Group, end, left, outlasts};
+use basillead::drive::carry::{Group, Straggler, end, left, lingers, outlasts};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
 
+use crate::at;
+
 fn group(left: f64) -> Group {
     Group { again: false, left }
 }
@@ -36,6 +38,34 @@
     assert!(left(100.0, 120) > left(100.0, 100));
 }
 
+#[test]
+fn lingers_while_a_later_round_may_take_it() {
+    let straggler = Straggler {
+        oldest: Some(4),
+        min_version: 3,
+        later: None,
+        ended: at(1000),
+    };
+    assert!(lingers(&straggler, at(2500)), "the trainer makes its step");
+    assert!(!lingers(&straggler, at(3100)), "nobody submitted it again");
+    let old = Straggler {
+        oldest: Some(3),
+        ..straggler
+    };
+    assert!(!lingers(&old, at(1000)), "no later round takes it");
+    let begun = Straggler {
+        oldest: None,
+        ..straggler
+    };
+    assert!(!lingers(&begun, at(1000)), "nothing would be lost");
+    let later = |min| Straggler {
+        later: Some(min),
+        ..straggler
+    };
+    assert!(lingers(&later(4), at(9000)));
+    assert!(!lingers(&later(5), at(1000)));
+}
+
 #[test]
 fn outlasts_by_a_margin() {
     assert!(outlasts(100.0, 50.0));
--- a/tests/instance/rounds.rs
+++ b/tests/instance/rounds.rs
@@ -4,6 +4,7 @@
 
 use basillead::drive::assign::{Assignable, assign, quotas};
 use basillead::drive::moves::{Running, Seat as Room, empties, faster};
+use basillead::drive::pace::Stopwatch;
 use basillead::drive::waves::{Loadable, at_once, next};
 use basillead::job::order::queue;
 use basillead::job::place::{Seat, place};
@@ -11,8 +12,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
 
-use crate::at;
 use crate::fold::{item, job, listed};
+use crate::{at, ms};
 
 fn ids(jobs: &Jobs, running: &[&str]) -> Vec<String> {
     let is_running = |_: &str, item: &str| running.contains(&item);
@@ -267,6 +268,25 @@
 }
 
 /// Replays two servers that turn slow in the middle of a round.
+/// Replays short samples at a server that needs 77 ms for each event.
+#[test]
+fn pace_short_samples_alike() {
+    let mut now = 1000;
+    for length in [1, 2, 3, 5, 2, 1, 9] {
+        let mut stopwatch = Stopwatch::default();
+        assert_eq!(stopwatch.note(1, at(now)), None, "it comes with the head");
+        for _ in 1..length {
+            now += 77;
+            assert_eq!(stopwatch.note(1, at(now)), Some(ms(77)));
+        }
+        now += 20;
+    }
+    let mut late = Stopwatch::default();
+    assert_eq!(late.note(2, at(0)), None);
+    assert_eq!(late.note(0, at(100)), None, "half an event");
+    assert_eq!(late.note(3, at(231)), Some(ms(77)), "read late, together");
+}
+
 #[test]
 fn moves_off_slow_servers() {
     let items = [
