--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -46,8 +46,6 @@
 const GATHER: Duration = Duration::from_millis(10);
 /// Time between two looks for items to be made anew: a few events of an engine.
 const RENEW_PACE: Duration = Duration::from_millis(100);
-/// Share of the newest event in a server's pace.
-const PACE_SHARE: f64 = 0.1;
 /// Pace of a server that has made no event lately, in seconds an event.
 const PACE_START: f64 = 0.04;
 /// Time after its last event from which on a server's pace is not known any more.
@@ -259,8 +257,9 @@
                 goes_on && !known.done.contains(item) && self.leads(known)
             });
             if !wanted && let Some(handle) = &run.handle {
-                event!("item_stopped", "job" => job, "item" => item,
-                    "running" => run.server.is_some());
+                if let Some((server, _)) = &run.server {
+                    event!("item_stopped", "job" => job, "item" => item, "server" => server);
+                }
                 handle.abort();
             }
             wanted
@@ -355,9 +354,8 @@
         let Some(place) = places.get_mut(server) else {
             return;
         };
-        let span = span.as_secs_f64();
-        let before = place.pace.map_or(span, |(pace, _)| pace);
-        place.pace = Some((before + (span - before) * PACE_SHARE, Boot::now()));
+        let before = place.pace.map(|(pace, _)| pace);
+        place.pace = Some((pace::mix(before, span), Boot::now()));
     }
 
     fn is_loading(&self, backend: &Backend) -> bool {
--- a/src/drive/moves.rs
+++ b/src/drive/moves.rs
@@ -11,6 +11,11 @@
 
 /// How much slower a server must be than the best one with room.
 const GAIN: f64 = 1.6;
+/// How much slower than the median server one must be to be left.
+///
+/// A move costs a connection and reading the prompt again, and only the slow servers of a
+/// round keep its trainer waiting.
+const SLOWER: f64 = 1.25;
 /// Time that an item stays on a server at least.
 const STAY: Duration = Duration::from_millis(300);
 
@@ -60,7 +65,7 @@
 pub fn faster(items: &[Running], seats: &mut [Seat], now: Boot) -> Vec<usize> {
     let mut order: Vec<usize> = (0..items.len()).collect();
     order.sort_by(|a, b| items[*b].pace.total_cmp(&items[*a].pace));
-    let stays = |at: &usize| now < items[*at].since + STAY;
+    let stays = |at: &usize| now < items[*at].since + STAY || items[*at].pace < SLOWER;
     order.retain(|at| !stays(at));
     order.retain(|at| take(seats, &items[*at], items[*at].pace / GAIN));
     order
--- a/tests/instance/rounds.rs
+++ b/tests/instance/rounds.rs
@@ -4,7 +4,7 @@
 
 use basillead::drive::assign::{Assignable, assign, quotas};
 use basillead::drive::moves::{Running, Seat as Room, empties, faster};
-use basillead::drive::pace::Stopwatch;
+use basillead::drive::pace::{Stopwatch, mix};
 use basillead::drive::waves::{Loadable, at_once, next};
 use basillead::job::order::queue;
 use basillead::job::place::{Seat, place};
@@ -287,6 +287,43 @@
     assert_eq!(late.note(3, at(231)), Some(ms(77)), "read late, together");
 }
 
+/// Replays a leader that stands still for 150 ms each half second, at six runs on a server.
+#[test]
+fn pace_late_reads() {
+    let mut pace = None;
+    let mut runs: Vec<(Stopwatch, u64)> = (0..6)
+        .map(|n| (Stopwatch::default(), 1000 + n * 12))
+        .collect();
+    for now in 1000_u64..20_000 {
+        if now % 500 < 150 {
+            continue;
+        }
+        for (stopwatch, due) in &mut runs {
+            let late = now.saturating_sub(*due) / 77 + u64::from(now >= *due);
+            let span = stopwatch.note(usize::try_from(late).expect("a small number"), at(now));
+            *due += 77 * late;
+            if let Some(span) = span {
+                pace = Some(mix(pace, span));
+            }
+            if now > 3000 {
+                let pace = pace.expect("a pace");
+                assert!(
+                    (0.055..0.1).contains(&pace),
+                    "{pace} s an event at {now} ms"
+                );
+            }
+        }
+    }
+}
+
+/// A server of the usual pace is not left for one that seems to be quick.
+#[test]
+fn moves_stay_on_usual_servers() {
+    let mut seats = [room(6, 0.5)];
+    let items = [running(1.0, 0), running(1.1, 0)];
+    assert!(faster(&items, &mut seats, at(5000)).is_empty());
+}
+
 #[test]
 fn moves_off_slow_servers() {
     let items = [
