--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -29,6 +29,7 @@
 use crate::instance::edge::Backend;
 use crate::instance::events::event;
 use crate::instance::leases;
+use crate::instance::run::END_MARGIN;
 use crate::job::Job;
 use crate::ledger::drafts::SavedDrafts;
 use crate::ledger::fold::Fold;
@@ -48,6 +49,11 @@
 const RENEW_PACE: Duration = Duration::from_millis(100);
 /// Pace of a server that has made no event lately, in seconds an event.
 const PACE_START: f64 = 0.04;
+/// Age of the last read of the ledger up to which the store counts as reached: reads are held
+/// for half a second while there is nothing new.
+const STORE_REACHED: Duration = Duration::from_millis(900);
+/// Time that handing over takes at most, before the process has to end.
+const HAND_OVER_MARGIN: Duration = Duration::from_millis(900);
 /// Time after its last event from which on a server's pace is not known any more.
 const PACE_KEPT: Duration = Duration::from_secs(4);
 
@@ -127,7 +133,9 @@
             // What else changes at the same time is looked at once.
             sleep(GATHER).await;
             self.stop_needless();
-            if self.shared.leaving.get().is_some() {
+            if let Some(since) = self.shared.leaving.get()
+                && self.may_hand_over(since)
+            {
                 self.hand_over().await;
                 return;
             }
@@ -309,8 +317,8 @@
             .rest = until;
     }
 
-    /// Paces of servers against their median.
-    fn paces(&self, servers: &[&Rc<Backend>], now: Boot) -> Vec<f64> {
+    /// Paces of servers against their median, and that in seconds an event.
+    fn paces(&self, servers: &[&Rc<Backend>], now: Boot) -> (Vec<f64>, f64) {
         let places = self.places.borrow();
         let one = |backend: &&Rc<Backend>| {
             let pace = places.get(&backend.id).and_then(|place| place.pace);
@@ -321,9 +329,10 @@
         let mut sorted = seen.clone();
         sorted.sort_by(f64::total_cmp);
         let median = sorted.get(sorted.len() / 2).copied().unwrap_or(PACE_START);
-        seen.into_iter()
-            .map(|pace| pace / median.max(f64::MIN_POSITIVE))
-            .collect()
+        let ratios = seen
+            .into_iter()
+            .map(|pace| pace / median.max(f64::MIN_POSITIVE));
+        (ratios.collect(), median)
     }
 
     /// Forgets what belongs to jobs and servers that are gone.
@@ -364,6 +373,17 @@
 }
 
 impl Driver {
+    /// Whether another instance could take over now, or nothing is gained by waiting for that.
+    ///
+    /// Runs go on while the store is away: nobody can lead without it.
+    fn may_hand_over(&self, leaving: Boot) -> bool {
+        let now = Boot::now();
+        let grace = self.shared.settings.bounds.grace;
+        let last = leaving + grace.saturating_sub(END_MARGIN + HAND_OVER_MARGIN);
+        let contact = self.shared.contacts.borrow().ledger;
+        contact.is_within(STORE_REACHED, now) || now >= last
+    }
+
     /// Stops all runs, saves their texts, and gives the leases up.
     async fn hand_over(self: &Rc<Self>) {
         for run in self
--- a/src/drive/moves.rs
+++ b/src/drive/moves.rs
@@ -1,21 +1,23 @@
 //! Which running items go on at another server.
 //!
-//! The load pattern: some servers turn slow in the middle of a round, and a round is whole
-//! only with its last item. Reading a prompt and the text so far again takes an engine a few
-//! milliseconds, an event tens of them, so an item leaves a slow server as soon as a faster
-//! one has room. Servers that are to load weights are emptied in the same way.
+//! The load pattern: some servers are slow, or turn so in the middle of a round, and a round is
+//! whole only with its last item. Reading a prompt and the text so far again takes an engine a
+//! few milliseconds, an event tens of them, so an item leaves a slower server as soon as a
+//! faster one has room, if what is left of it is long enough. Servers that are to load weights
+//! are emptied in the same way.
 
 use std::time::Duration;
 
 use crate::boot::Boot;
 
-/// How much slower a server must be than the best one with room.
-const GAIN: f64 = 1.6;
-/// How much slower than the median server one must be to be left.
-///
-/// A move costs a connection and reading the prompt again, and only the slow servers of a
-/// round keep its trainer waiting.
-const SLOWER: f64 = 1.25;
+/// How much slower than the median server one must be to be left: what is seen of equal
+/// servers differs by less.
+const SLOW: f64 = 1.25;
+/// How much slower a server may be than one that is emptied for a load.
+const SLOWER: f64 = 1.6;
+/// Seconds that a move must save: it costs a connection, reading the prompt again, and the
+/// event that the server was making.
+const SAVED: f64 = 0.4;
 /// Time that an item stays on a server at least.
 const STAY: Duration = Duration::from_millis(300);
 
@@ -30,6 +32,15 @@
     pub min_version: u64,
     /// Number of its model.
     pub model: usize,
+    /// Events that it still needs, as far as can be told.
+    pub left: f64,
+}
+
+impl Running {
+    /// The slowest pace that is worth a move; `event` is the median server's, in seconds.
+    fn worth(&self, event: f64) -> f64 {
+        self.pace - SAVED / (self.left * event).max(f64::MIN_POSITIVE)
+    }
 }
 
 /// A server with room.
@@ -60,14 +71,17 @@
     false
 }
 
-/// Chooses the items that leave slow servers, by position; the slowest go first.
+/// Chooses the items that leave slow servers, by position; those that need longest go first.
+///
+/// `event` is the time that the median server needs for an event, in seconds.
 #[must_use]
-pub fn faster(items: &[Running], seats: &mut [Seat], now: Boot) -> Vec<usize> {
+pub fn faster(items: &[Running], seats: &mut [Seat], event: f64, now: Boot) -> Vec<usize> {
     let mut order: Vec<usize> = (0..items.len()).collect();
-    order.sort_by(|a, b| items[*b].pace.total_cmp(&items[*a].pace));
-    let stays = |at: &usize| now < items[*at].since + STAY || items[*at].pace < SLOWER;
+    let needs = |at: usize| items[at].left * items[at].pace;
+    order.sort_by(|a, b| needs(*b).total_cmp(&needs(*a)));
+    let stays = |at: &usize| now < items[*at].since + STAY || items[*at].pace < SLOW;
     order.retain(|at| !stays(at));
-    order.retain(|at| take(seats, &items[*at], items[*at].pace / GAIN));
+    order.retain(|at| take(seats, &items[*at], items[*at].worth(event)));
     order
 }
 
@@ -77,7 +91,7 @@
     let before = seats.to_vec();
     let all = items
         .iter()
-        .all(|item| take(seats, item, item.pace.max(1.0) * GAIN));
+        .all(|item| take(seats, item, item.pace.max(1.0) * SLOWER));
     if !all {
         seats.clone_from_slice(&before);
     }
--- a/src/drive/moving.rs
+++ b/src/drive/moving.rs
@@ -18,13 +18,18 @@
     /// Servers with room, and their ids, by position.
     seats: Vec<Seat>,
     ids: Vec<String>,
+    /// Time that the median server needs for an event, in seconds.
+    event: f64,
 }
 
+/// Events that an item is taken to need while nothing is known of its model's samples.
+const LEFT_UNKNOWN: f64 = 8.0;
+
 impl Board {
     pub(super) fn new(driver: &Driver, service: &str, now: Boot) -> Self {
         let fleet = driver.shared.fleet.borrow();
         let usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
-        let paces = driver.paces(&usable, now);
+        let (paces, event) = driver.paces(&usable, now);
         let models = models(driver, &usable);
         let mut board = Self {
             keys: Vec::new(),
@@ -32,6 +37,7 @@
             servers: Vec::new(),
             seats: Vec::new(),
             ids: Vec::new(),
+            event,
         };
         for (backend, pace) in usable.iter().zip(&paces) {
             if driver.weights.is_loading(backend) || driver.rests(&backend.id, now) {
@@ -74,6 +80,7 @@
             let Some(model) = models.get(&job.record.model) else {
                 continue;
             };
+            let item = job.position(&key.1).map(|at| &job.record.items[at]);
             self.keys.push(key.clone());
             self.servers.push(server.clone());
             self.items.push(Running {
@@ -81,6 +88,9 @@
                 since: *since,
                 min_version: driver.min_version(job, &key.1),
                 model: *model,
+                left: item
+                    .and_then(|item| driver.left(job, item))
+                    .unwrap_or(LEFT_UNKNOWN),
             });
         }
     }
@@ -127,7 +137,7 @@
 
 /// Moves items from slow servers to faster ones with room.
 pub(super) fn leave_slow(driver: &Driver, board: &mut Board, now: Boot) {
-    for at in faster(&board.items, &mut board.seats, now) {
+    for at in faster(&board.items, &mut board.seats, board.event, now) {
         driver.requeue(&board.keys[at], "slow");
     }
 }
--- a/src/drive/renew.rs
+++ b/src/drive/renew.rs
@@ -56,7 +56,7 @@
     }
 
     /// Events that an item still needs; none if nothing is known of its model's samples.
-    fn left(&self, job: &Job, item: &Item) -> Option<f64> {
+    pub(super) fn left(&self, job: &Job, item: &Item) -> Option<f64> {
         if job.done.contains(&item.id) {
             return Some(0.0);
         }
--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -129,7 +129,7 @@
     };
     Room {
         free: servers.iter().map(free).collect(),
-        paces: driver.paces(&servers, now),
+        paces: driver.paces(&servers, now).0,
         models: servers
             .iter()
             .map(|backend| driver.model_of(backend))
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -31,7 +31,7 @@
 use crate::util::{random_id, stop_signal, unix_ms};
 
 /// Time of the grace period that is left for the process to end.
-const END_MARGIN: Duration = Duration::from_millis(900);
+pub const END_MARGIN: Duration = Duration::from_millis(900);
 /// An address answer may be kept for this many times its life.
 const KEPT_FOR: u32 = 3;
 /// Time between two looks at what is still under way.
