--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -20,7 +20,7 @@
 /// Time for which a server that broke a run off gets no other one.
 const BROKEN_REST: Duration = Duration::from_millis(1500);
 /// Time for which an unfinished text is kept for a job that brings the item again.
-pub(super) const DRAFT_KEPT: Duration = Duration::from_secs(30);
+const DRAFT_KEPT: Duration = Duration::from_secs(30);
 
 /// The text of an item and the weight versions that made it.
 #[derive(Clone, Debug)]
--- a/src/drive/takeover.rs
+++ b/src/drive/takeover.rs
@@ -1,5 +1,6 @@
 //! Reads the unfinished texts that a former leader saved, and saves this leader's own.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -7,7 +8,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::Driver;
-use super::make::DRAFT_KEPT;
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::edge::{Log, STORE_PAUSE, StoreError};
@@ -27,8 +27,11 @@
 const JOBS_LOOK: Duration = Duration::from_millis(100);
 /// Time between two rounds of saving unfinished texts.
 const SAVE_PACE: Duration = Duration::from_millis(500);
+/// Time for which the log keeps drafts: the longest samples take eight seconds, and what a new
+/// leader reads delays its start.
+const LOG_KEPT: Duration = Duration::from_secs(12);
 /// Time between two deletions of old drafts.
-const TRIM_PACE: Duration = Duration::from_secs(5);
+const TRIM_PACE: Duration = Duration::from_secs(2);
 /// Time that a leaving leader waits for its last drafts to be written.
 const HAND_OVER: Duration = Duration::from_millis(400);
 /// Pause between two looks at whether they are written.
@@ -54,7 +57,7 @@
     fn default() -> Self {
         Self {
             last: Boot::default(),
-            trimmer: Trimmer::new(Log::Drafts, DRAFT_KEPT, TRIM_PACE),
+            trimmer: Trimmer::new(Log::Drafts, LOG_KEPT, TRIM_PACE),
         }
     }
 }
@@ -77,20 +80,15 @@
         let service = service.to_owned();
         tokio::task::spawn_local(async move {
             let started = Boot::now();
-            let read = timeout(READ, read(&driver.shared));
+            // Parts of a text are worth having without those that come after them.
+            let saved = RefCell::default();
+            let read = timeout(READ, read(&driver.shared, &saved));
             let (read, ()) = tokio::join!(read, driver.jobs_read(started));
             let took = Boot::now().since(started).as_millis();
-            match read {
-                Ok(saved) => {
-                    event!("drafts_read", "service" => service, "fence" => fence,
-                        "items" => saved.len(), "took_ms" => took);
-                    driver.saved_drafts.replace(saved);
-                }
-                Err(_) => {
-                    event!("drafts_unread", "service" => service, "fence" => fence,
-                        "took_ms" => took);
-                }
-            }
+            let saved = saved.into_inner();
+            event!("drafts_read", "service" => service, "fence" => fence, "whole" => read.is_ok(),
+                "items" => saved.len(), "took_ms" => took);
+            driver.saved_drafts.replace(saved);
             let mut takeovers = driver.takeovers.borrow_mut();
             takeovers.insert(service, Takeover::Done(fence));
             driver.shared.changed.notify_waiters();
@@ -181,9 +179,8 @@
     }
 }
 
-/// Reads the log of drafts to its end.
-async fn read(shared: &Shared) -> SavedDrafts {
-    let mut saved = SavedDrafts::default();
+/// Reads the log of drafts to its end; `saved` has what was read so far.
+async fn read(shared: &Shared, saved: &RefCell<SavedDrafts>) {
     let mut decoder = Decoder::default();
     let mut next = 0;
     loop {
@@ -193,11 +190,11 @@
         match call.await {
             Ok(page) => {
                 for (_, draft) in decoder.records(page.items) {
-                    saved.save(draft);
+                    saved.borrow_mut().save(draft);
                 }
                 next = page.next;
                 if next >= page.end {
-                    return saved;
+                    return;
                 }
             }
             Err(StoreError::Expired { first }) => {
