Bound answers and events that have no end; only whole events keep a stream alive

Cause: a server in trouble may send bytes without end. The body of an answer was held in memory until the caller's deadline, an event of a sample's stream until the process ran out of memory, and a stream that sent a byte now and then was never given up. endless_body, endless_event and endless_stalled_stream failed before; a head without end was refused already (endless_head).

--- a/src/drive/events.rs
+++ b/src/drive/events.rs
@@ -1,5 +1,10 @@
 //! Reads an engine's event stream piece by piece.
 
+/// Bytes of one event that are read: hundreds of times those of an engine's events.
+///
+/// A server in trouble may send bytes without end.
+const EVENT_BYTES: usize = 1 << 20;
+
 /// A whole event of a stream.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Event {
@@ -17,12 +22,15 @@
     line: Vec<u8>,
     event: Event,
     has_data: bool,
+    /// Bytes since the last whole event.
+    bytes: usize,
 }
 
 impl EventReader {
     /// Takes the next bytes and gives the events that are whole.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<Event> {
         let mut events = Vec::new();
+        self.bytes += bytes.len();
         for byte in bytes {
             if *byte != b'\n' {
                 self.line.push(*byte);
@@ -34,11 +42,18 @@
             self.line.clear();
             if let Some(event) = self.take(&line) {
                 events.push(event);
+                self.bytes = 0;
             }
         }
         events
     }
 
+    /// Whether more bytes have come without an event than one can have.
+    #[must_use]
+    pub fn is_endless(&self) -> bool {
+        self.bytes > EVENT_BYTES
+    }
+
     fn take(&mut self, line: &str) -> Option<Event> {
         if line.is_empty() {
             let event = std::mem::take(&mut self.event);
--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -166,13 +166,16 @@
     let mut version = reply.version.or(weights).unwrap_or_default();
     let mut reader = EventReader::default();
     let mut stopwatch = Stopwatch::default();
+    let mut heard = Boot::now();
     loop {
         let silence = if watch.is_loading(backend) {
             SILENCE_LOADING
         } else {
             SILENCE
         };
-        let frame = match timeout(silence, body.frame()).await {
+        // Bytes that make no event don't count: a stalled stream may send some now and then.
+        let left = (heard + silence).left(Boot::now());
+        let frame = match timeout(left, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => break,
             Ok(Some(Err(error))) => {
@@ -190,6 +193,13 @@
             continue;
         };
         let events = reader.push(&bytes);
+        if reader.is_endless() {
+            event!("item_endless", "item" => task.item.id, "server" => backend.id);
+            return RunEnd::Broken;
+        }
+        if !events.is_empty() {
+            heard = Boot::now();
+        }
         if let Some(span) = stopwatch.note(events.len(), Boot::now()) {
             watch.paced(&backend.id, span);
         }
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -4,13 +4,18 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
-use http_body_util::{BodyExt as _, Full};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use snafu::{ResultExt as _, Snafu};
 
 use super::pool::{Lane, Pool, PoolError};
 use crate::instance::edge::{Backend, Dialect, Dispatch, Reply};
 
+/// Bytes of an answer that is held whole: some thousand times those of the sheets' answers.
+///
+/// A server in trouble may send bytes without end.
+const ANSWER_BYTES: usize = 4 << 20;
+
 /// Why a call got no whole answer.
 #[derive(Debug, Snafu)]
 pub enum CallError {
@@ -32,6 +37,12 @@
         /// The cause.
         source: hyper::Error,
     },
+    /// The answer broke off, or its body is too large: the request may have run.
+    #[snafu(display("no whole body of {ANSWER_BYTES} bytes or less: {source}"))]
+    Body {
+        /// The cause.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
     /// The answer belongs to another request.
     #[snafu(display("the answer belongs to another request"))]
     Foreign,
@@ -194,7 +205,7 @@
 /// Reads the rest of an answer and gives its connection back.
 ///
 /// # Errors
-/// [`CallError::Broken`] if the answer broke off.
+/// [`CallError::Body`] if the answer broke off or has no end.
 pub async fn finish(arriving: Arriving) -> Result<Answer, CallError> {
     let Arriving {
         reply,
@@ -202,7 +213,8 @@
         body,
         lane,
     } = arriving;
-    let body = body.collect().await.context(BrokenSnafu)?.to_bytes();
+    let body = Limited::new(body, ANSWER_BYTES).collect().await;
+    let body = body.context(BodySnafu)?.to_bytes();
     lane.keep();
     Ok(Answer {
         reply,
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -220,7 +220,9 @@
             Err(error) => Err(error),
         };
         // A kept connection may have been closed by the server just before.
-        let stale = matches!(&result, Err(CallError::Broken { .. }));
+        let broken =
+            |error: &CallError| matches!(error, CallError::Broken { .. } | CallError::Body { .. });
+        let stale = result.as_ref().is_err_and(broken);
         if stale && !second && sending.route.kind == Handling::Idempotent {
             second = true;
             continue;
