--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -343,9 +343,9 @@
 
 /// Follows the signs of life of the instances in this one's partition.
 pub async fn signs(shared: Rc<Shared>) {
-    let log = Log::Signs(signs::partition(&shared.settings));
+    let own = signs::partition(&shared.settings);
+    let log = Log::Signs(own);
     let mut trimmer = Trimmer::new(log, SIGNS_KEPT, TRIM_PACE);
-    let apply = |sign: Sign, _, received| shared.members.borrow_mut().apply(sign, received);
     let done = |page: &Applied| {
         if !page.is_last {
             return Duration::ZERO;
@@ -356,16 +356,38 @@
             contacts.signs
         };
         let members = shared.members.borrow();
-        let mut alive = members.alive(page.sent, contact.since, leases::SILENCE);
+        let mut alive = members
+            .alive(page.sent, contact.since, leases::SILENCE)
+            .filter(|(_, member)| member.part == own);
         let is_first = alive
             .next()
             .is_some_and(|(name, _)| *name == shared.settings.name);
         trim(&shared, &mut trimmer, page, is_first);
         SIGNS_PACE
     };
+    let apply = |sign: Sign, _, received| shared.members.borrow_mut().apply(sign, own, received);
     follow(&shared, log, "signs", async || {}, apply, done).await;
 }
 
+/// Follows the signs of life in another partition while few instances of the own one are ready.
+pub async fn other_signs(shared: Rc<Shared>, part: u32) {
+    let wanted = async || {
+        while !signs::follows_others(shared.ready_near()) {
+            sleep(DEMAND_LOOK).await;
+        }
+    };
+    let apply = |sign: Sign, _, received| shared.members.borrow_mut().apply(sign, part, received);
+    let done = |page: &Applied| {
+        if page.is_last {
+            SIGNS_PACE
+        } else {
+            Duration::ZERO
+        }
+    };
+    let log = Log::Signs(part);
+    follow(&shared, log, "other signs", wanted, apply, done).await;
+}
+
 /// Follows the log of counters while this instance reports usage.
 pub async fn counters(shared: Rc<Shared>) {
     let wanted = async || {
--- a/src/instance/leases.rs
+++ b/src/instance/leases.rs
@@ -154,7 +154,7 @@
     STAGGER.saturating_mul(before).min(STAGGER_MAX)
 }
 
-/// Instances of this one's partition of signs that claim a lease before it.
+/// Instances known here that claim a lease before this one.
 fn before(shared: &Shared, subject: &Subject) -> usize {
     let contact = shared.contacts.borrow().signs;
     let seen = contact.seen.unwrap_or_default();
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -84,7 +84,8 @@
     pub fleet: RefCell<Fleet>,
     /// The state folded from the ledger and the log of jobs.
     pub fold: RefCell<Fold>,
-    /// The instances that share this one's partition of the log of signs.
+    /// The instances that share this one's partition of the log of signs, and others while
+    /// those are few.
     pub members: RefCell<Members>,
     /// Requests that instances counted.
     pub counters: RefCell<Counters>,
@@ -202,8 +203,29 @@
     /// Instances in all, as far as can be told from those of its own partition of signs.
     #[must_use]
     pub fn instances(&self) -> usize {
-        let partitions = signs::partitions(&self.settings);
-        self.members.borrow().known.len().max(1) * partitions
+        self.near().max(1) * signs::partitions(&self.settings)
+    }
+
+    /// Instances of this one's partition of signs.
+    #[must_use]
+    pub fn near(&self) -> usize {
+        let own = signs::partition(&self.settings);
+        let members = self.members.borrow();
+        let near = members.known.values().filter(|member| member.part == own);
+        near.count()
+    }
+
+    /// Instances of this one's partition of signs that are alive and ready.
+    #[must_use]
+    pub fn ready_near(&self) -> usize {
+        let own = signs::partition(&self.settings);
+        let contact = self.contacts.borrow().signs;
+        let members = self.members.borrow();
+        let seen = contact.seen.unwrap_or_default();
+        let alive = members.alive(seen, contact.since, leases::SILENCE);
+        alive
+            .filter(|(_, member)| member.part == own && member.ready)
+            .count()
     }
 
     /// Connections that this instance may open to one server of a service.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -101,6 +101,9 @@
     spawn_local(follow::ledger(Rc::clone(&shared)));
     spawn_local(follow::jobs(Rc::clone(&shared)));
     spawn_local(follow::signs(Rc::clone(&shared)));
+    for part in signs::others(&shared.settings) {
+        spawn_local(follow::other_signs(Rc::clone(&shared), part));
+    }
     let call_bytes = shared.settings.call_bytes;
     let writers = [
         &shared.writer,
--- a/src/instance/signs.rs
+++ b/src/instance/signs.rs
@@ -32,11 +32,21 @@
     settings.zones.len().clamp(1, most.max(1))
 }
 
-/// The partition of this instance's signs of life.
+/// Ready instances of a zone from which on those of other zones need not be known.
+const ZONE_ENOUGH: usize = 6;
+
+/// Whether signs of life of other partitions are followed where `ready` instances of this
+/// one's partition are ready.
 ///
 /// The load pattern: hundreds of instances sign about once a second, and each reads what it
 /// follows of that. Callers are sent to instances of their own availability zone, so that an
-/// instance needs to know those of its own only.
+/// instance needs to know others only while its zone has few.
+#[must_use]
+pub fn follows_others(ready: usize) -> bool {
+    ready < ZONE_ENOUGH
+}
+
+/// The partition of this instance's signs of life.
 #[must_use]
 pub fn partition(settings: &InstanceSettings) -> u32 {
     let zones = settings.zones.iter();
@@ -45,6 +55,13 @@
     u32::try_from(part).unwrap_or_default()
 }
 
+/// The partitions of other instances' signs of life.
+pub fn others(settings: &InstanceSettings) -> impl Iterator<Item = u32> {
+    let own = partition(settings);
+    let count = u32::try_from(partitions(settings)).unwrap_or(u32::MAX);
+    (0..count).filter(move |part| *part != own)
+}
+
 /// Time between two signs of life where `count` instances share a partition.
 #[must_use]
 pub fn pace(count: usize) -> Duration {
@@ -61,7 +78,7 @@
         // The next one waits for this one, so that none pile up while the store is away; an
         // error means that the process ends.
         let _ = shared.sign_writer.push(&own_sign(&shared)).await;
-        let pace = pace(shared.members.borrow().known.len());
+        let pace = pace(shared.near());
         let left = (made + pace).left(Boot::now());
         // Whichever comes first.
         let _ = timeout(left, shared.sign.notified()).await;
--- a/src/ledger/members.rs
+++ b/src/ledger/members.rs
@@ -1,4 +1,4 @@
-//! The fold of the log of signs: the living instances of a partition.
+//! The fold of the log of signs: the living instances.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,6 +16,8 @@
     pub front: Option<SocketAddr>,
     /// Availability zone.
     pub zone: String,
+    /// Partition of the log of signs that it writes to.
+    pub part: u32,
     /// Whether callers may be sent there.
     pub ready: bool,
     /// When its last sign of life was read here.
@@ -32,12 +34,13 @@
 }
 
 impl Members {
-    /// Applies a sign of life that was read at `received`.
-    pub fn apply(&mut self, sign: Sign, received: Boot) {
+    /// Applies a sign of life that was read in partition `part` at `received`.
+    pub fn apply(&mut self, sign: Sign, part: u32, received: Boot) {
         let member = Member {
             incarnation: sign.incarnation,
             front: sign.front,
             zone: sign.zone,
+            part,
             ready: sign.ready,
             heard: received,
             capacity: sign.capacity,
--- a/tests/instance/traffic.rs
+++ b/tests/instance/traffic.rs
@@ -40,6 +40,13 @@
     }
 }
 
+#[test]
+fn signs_of_others_while_few_are_near() {
+    assert!(signs::follows_others(0));
+    assert!(signs::follows_others(3), "a zone of a small deployment");
+    assert!(!signs::follows_others(50));
+}
+
 #[test]
 fn counters_log_takes_all() {
     for count in [1, 9, 100, 300, 1000] {
