--- a/src/entry/generate.rs
+++ b/src/entry/generate.rs
@@ -5,7 +5,7 @@
 
 use crate::http::{Refusal, RefusalKind};
 use crate::manifest::RetryPolicy;
-use crate::names::{Model, Pool, ServerId, Tenant};
+use crate::names::{Fingerprint, Model, Pool, ServerId, Tenant};
 use crate::wire::{EngineChunk, EngineRequest, Run, Segment};
 
 use super::Entry;
@@ -13,7 +13,7 @@
 use super::engine::{EngineError, EngineStream};
 use super::metrics::Attempt;
 use super::place::{Placed, Placer};
-use super::poison::{Crash, Fingerprint};
+use super::poison::Crash;
 use super::prefix::block_hashes;
 use super::servers::KnownServer;
 use super::share;
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -5,12 +5,12 @@
 
 use crate::http::{Refusal, RefusalKind};
 use crate::manifest::PoisonPolicy;
-use crate::names::{Pool, ServerId};
+use crate::names::{Fingerprint, Pool, ServerId};
 
 use super::choose::Work;
 use super::enter;
 use super::generate::Job;
-use super::poison::{Clearance, Fingerprint};
+use super::poison::Clearance;
 use super::servers::{Inflight, Need};
 use super::suspect::{Trial, TrialGuard};
 use super::{Entry, share};
--- a/src/entry/poison.rs
+++ b/src/entry/poison.rs
@@ -3,9 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use derive_more::Display;
-
-use crate::names::{ServerId, sha256_hex};
+use crate::names::{Fingerprint, ServerId};
 
 /// Time for which a crash counts.
 const COUNTED: Duration = Duration::from_secs(600);
@@ -18,30 +16,6 @@
 /// Crashes that are remembered.
 const CRASHES_MAX: usize = 4_096;
 
-/// Which request it is: the same tenant, model, prompt and seed give the same one.
-#[derive(Clone, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Fingerprint(String);
-
-impl Fingerprint {
-    /// The fingerprint of a request's parts.
-    #[must_use]
-    pub fn of(parts: &[&str]) -> Self {
-        let mut text = String::new();
-        for part in parts {
-            text.push_str(&part.len().to_string());
-            text.push(':');
-            text.push_str(part);
-        }
-        Self(sha256_hex(text.as_bytes()))
-    }
-
-    /// A fingerprint that a peer told.
-    #[must_use]
-    pub fn told(text: &str) -> Self {
-        Self(text.to_owned())
-    }
-}
-
 /// One crash of a server with a request on it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Crash {
@@ -225,9 +199,4 @@
         table.note(&crash("s2", false, later), later);
         assert_eq!(table.clearance(&request, 0, later), Clearance::Suspect);
     }
-
-    #[test]
-    fn fingerprint_tells_parts_apart() {
-        assert_ne!(Fingerprint::of(&["ab", "c"]), Fingerprint::of(&["a", "bc"]));
-    }
 }
--- a/src/entry/share.rs
+++ b/src/entry/share.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::names::{ServerId, Tenant};
+use crate::names::{Fingerprint, ServerId, Tenant};
 use crate::peer::{OwnCrash, PeerDigest};
 use crate::wire::{CrashStage, Daemon, ServerLoad, TenantDemand};
 
 use super::Entry;
 use super::others::Others;
-use super::poison::{Crash, Fingerprint};
+use super::poison::Crash;
 use super::report::weight;
 use super::suspect::Trial;
 
--- a/src/entry/suspect.rs
+++ b/src/entry/suspect.rs
@@ -6,10 +6,10 @@
 
 use parking_lot::Mutex;
 
-use crate::names::{Incarnation, ServerId};
+use crate::names::{Fingerprint, Incarnation, ServerId};
 
 use super::others::Others;
-use super::poison::{Clearance, Crash, CrashTable, Fingerprint};
+use super::poison::{Clearance, Crash, CrashTable};
 
 /// Time within which a server's port must answer to tell a crash from a broken stream.
 const PROBE: Duration = Duration::from_millis(300);
--- a/src/names.rs
+++ b/src/names.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::{AsRef, Display};
+use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
 
 macro_rules! name {
@@ -101,6 +102,31 @@
     text
 }
 
+/// Which request it is: the same parts give the same one.
+#[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Fingerprint(String);
+
+impl Fingerprint {
+    /// The fingerprint of a request's parts.
+    #[must_use]
+    pub fn of<T: AsRef<[u8]>>(parts: &[T]) -> Self {
+        let mut text = Vec::new();
+        for part in parts {
+            let part = part.as_ref();
+            text.extend_from_slice(part.len().to_string().as_bytes());
+            text.push(b':');
+            text.extend_from_slice(part);
+        }
+        Self(sha256_hex(&text))
+    }
+
+    /// A fingerprint that another process told.
+    #[must_use]
+    pub fn told(text: &str) -> Self {
+        Self(text.to_owned())
+    }
+}
+
 /// A secret text, which `Debug` hides.
 #[derive(Clone)]
 pub struct Secret(String);
@@ -131,3 +157,13 @@
         f.write_str("Secret(..)")
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fingerprint_tells_parts_apart() {
+        assert_ne!(Fingerprint::of(&["ab", "c"]), Fingerprint::of(&["a", "bc"]));
+    }
+}
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use snafu::{ResultExt as _, Snafu};
 
+use super::choose::Link;
 use super::pool::{Lane, Pool, PoolError};
 use crate::instance::edge::{Backend, Dialect, Dispatch, Reply};
 
@@ -32,8 +33,10 @@
         source: http::Error,
     },
     /// The connection broke: the request may have run.
-    #[snafu(display("connection broke: {source}"))]
+    #[snafu(display("{link} connection broke: {source}"))]
     Broken {
+        /// The connection.
+        link: Link,
         /// The cause.
         source: hyper::Error,
     },
@@ -178,7 +181,9 @@
     let Some(sender) = lane.sender.as_mut() else {
         return LateSnafu.fail();
     };
-    let answer = sender.send_request(request).await.context(BrokenSnafu)?;
+    let link = lane.link;
+    let answer = sender.send_request(request).await;
+    let answer = answer.context(BrokenSnafu { link })?;
     let (head, body) = answer.into_parts();
     let reply = dialect.reply(&head);
     lane.answered(closes(&head), reply.keep);
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -7,6 +7,8 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
+
 use crate::boot::Boot;
 
 /// Share of the objective after which a second server is asked as well.
@@ -22,11 +24,13 @@
 pub const COME_BACK: Duration = Duration::from_millis(200);
 
 /// A connection to a backend server.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum Link {
-    /// One that is kept and idle.
+    /// One that was kept after an earlier request.
+    #[display("kept")]
     Kept,
-    /// One that is to be made.
+    /// One that is made for the request.
+    #[display("new")]
     New,
 }
 
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -97,6 +97,8 @@
     key: Key,
     /// Sends the request.
     pub sender: Option<SendRequest<Full<Bytes>>>,
+    /// Whether the connection had served a request before.
+    pub link: Link,
     /// Time for which the server keeps it idle; zero if it closes it after this answer.
     idle: Duration,
 }
@@ -170,6 +172,7 @@
                 pool: self.clone(),
                 key,
                 sender: Some(sender),
+                link: Link::Kept,
                 idle: IDLE_DEFAULT,
             });
         }
@@ -198,6 +201,7 @@
             pool: self.clone(),
             key,
             sender: Some(sender),
+            link: Link::New,
             idle: IDLE_DEFAULT,
         })
     }
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -17,6 +17,7 @@
 use crate::instance::deployment::{Handling, Route};
 use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
+use crate::names::Fingerprint;
 
 /// Shortest time in which another attempt can be of use.
 const USEFUL: Duration = Duration::from_millis(15);
@@ -46,6 +47,20 @@
     pub deadline: Boot,
 }
 
+impl Sending<'_> {
+    /// What the request has in common with others of the same tenant, path and body.
+    fn fingerprint(&self) -> Fingerprint {
+        let parts: [&[u8]; 5] = [
+            self.tenant.unwrap_or_default().as_bytes(),
+            self.route.host.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.target.as_bytes(),
+            &self.body,
+        ];
+        Fingerprint::of(&parts)
+    }
+}
+
 /// How a request ended.
 #[derive(Debug)]
 pub enum Done {
@@ -223,6 +238,13 @@
         let broken =
             |error: &CallError| matches!(error, CallError::Broken { .. } | CallError::Body { .. });
         let stale = result.as_ref().is_err_and(broken);
+        if let Err(error) = &result
+            && !error.is_unsent()
+        {
+            event!("call_broken", "id" => sending.id, "request" => sending.fingerprint(),
+                "server" => backend.id, "born" => backend.born, "second" => second,
+                "error" => error);
+        }
         if stale && !second && sending.route.kind == Handling::Idempotent {
             second = true;
             continue;
