Count a send that broke as a run, whatever becomes of its repeat

Callers saw: a request that crashes servers took all servers of a service with it in one attempt, and was then answered 503, "not run". Cause: after a broken connection an idempotent request was sent once more to the same server, since a kept connection may have been closed just before. Only the second outcome was kept: a crashed server refuses the connection, so the attempt counted as not run, was taken off the route's attempts, and went on to the next server. It was also done after a break on a new connection, where that reason does not hold. Why it works: the first send counts as one that may have run unless the second one did run.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -61,6 +61,18 @@
         matches!(self, Self::Unsent { .. } | Self::Malformed { .. })
     }
 
+    /// Whether the server may have closed a kept connection just before the request.
+    #[must_use]
+    pub fn is_stale(&self) -> bool {
+        matches!(
+            self,
+            Self::Broken {
+                link: Link::Kept,
+                ..
+            }
+        )
+    }
+
     /// Whether only this instance's share of connections was used up.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -204,53 +204,60 @@
     }
 }
 
+/// Sends a request to one server, and once more if a kept connection broke: the server may
+/// have closed it just before.
 async fn attempt(
     shared: &Shared,
     sending: &Sending<'_>,
     backend: Rc<Backend>,
 ) -> (Rc<Backend>, Result<Answer, CallError>) {
     let _running = shared.load.enter(&backend.id);
+    let first = send(shared, sending, &backend).await;
+    let is_stale = first.as_ref().is_err_and(CallError::is_stale);
+    if !is_stale || sending.route.kind != Handling::Idempotent {
+        return (backend, first);
+    }
+    let second = send(shared, sending, &backend).await;
+    let ran = match &second {
+        Ok(answer) => !answer.is_not_run(),
+        Err(error) => !error.is_unsent(),
+    };
+    // The first one may have run, whatever became of the second.
+    (backend, if ran { second } else { first })
+}
+
+async fn send(
+    shared: &Shared,
+    sending: &Sending<'_>,
+    backend: &Backend,
+) -> Result<Answer, CallError> {
     let outgoing = Outgoing {
         method: sending.method.clone(),
         target: sending.target,
         headers: sending.headers,
         body: sending.body.clone(),
     };
-    let mut second = false;
-    loop {
-        let left = sending.deadline.left(Boot::now());
-        let dispatch = Dispatch {
-            id: Some(sending.id),
-            server: &backend.id,
-            tenant: sending.tenant,
-            left: Some(left),
-            resume: None,
-        };
-        let limit = shared.connections(&backend.service);
-        let pool = &shared.pool;
-        let dialect = &*shared.dialect;
-        let arriving = call::send(pool, dialect, &backend, limit, &outgoing, &dispatch).await;
-        let result = match arriving {
-            Ok(arriving) => call::finish(arriving).await,
-            Err(error) => Err(error),
-        };
-        // A kept connection may have been closed by the server just before.
-        let broken =
-            |error: &CallError| matches!(error, CallError::Broken { .. } | CallError::Body { .. });
-        let stale = result.as_ref().is_err_and(broken);
-        if let Err(error) = &result
-            && !error.is_unsent()
-        {
-            event!("call_broken", "id" => sending.id, "request" => sending.fingerprint(),
-                "server" => backend.id, "born" => backend.born, "second" => second,
-                "error" => error);
-        }
-        if stale && !second && sending.route.kind == Handling::Idempotent {
-            second = true;
-            continue;
-        }
-        return (backend, result);
+    let dispatch = Dispatch {
+        id: Some(sending.id),
+        server: &backend.id,
+        tenant: sending.tenant,
+        left: Some(sending.deadline.left(Boot::now())),
+        resume: None,
+    };
+    let limit = shared.connections(&backend.service);
+    let dialect = &*shared.dialect;
+    let arriving = call::send(&shared.pool, dialect, backend, limit, &outgoing, &dispatch).await;
+    let result = match arriving {
+        Ok(arriving) => call::finish(arriving).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = &result
+        && !error.is_unsent()
+    {
+        event!("call_broken", "id" => sending.id, "request" => sending.fingerprint(),
+            "server" => backend.id, "born" => backend.born, "error" => error);
     }
+    result
 }
 
 /// Classifies how an attempt ended; none for an answer that is passed on.
