Refuse a request that crashed three servers, at every instance and after restarts

Callers saw: a request that crashes each server which begins to run it, sent again by its caller, took up to a route's attempts in servers each time, at whatever instance it came to. Cause: nothing remembered it. A bound that counts in the memory of one attempt does not hold for work that comes again elsewhere. Why it works: whoever loses a connection under a request looks whether the server still takes one; if not, or if a silent server leaves the registry without a word, the crash goes to the ledger under the request's fingerprint. Every instance follows the ledger from its start on, also after the store was away. From the third crash on the request is refused at once, with the time in Retry-After, but for one run of one instance after 10 s, 60 s, 6 min and so on; the first run that ends forgives. Items of jobs and scorers' calls are exempt: they are owed. crashes_any_arrivals_and_restarts generates arrivals and restarts on the real fold: at most three runs after contactMs.

--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -16,7 +16,7 @@
 use crate::instance::events::event;
 use crate::job::{Content, Item, ItemEnd, Scorer};
 use crate::relay::call::{self, Outgoing};
-use crate::relay::repeat::{self, Done};
+use crate::relay::repeat::{self, Claim, Done};
 
 /// Time without an event after which a run is given up.
 ///
@@ -266,6 +266,8 @@
                 headers: &headers,
                 body: scorer.body.clone(),
                 tenant: None,
+                attempts: route.attempts.max(1),
+                claim: Claim::Run,
                 deadline: Boot::now() + route.timeout,
             };
             match repeat::run(shared, &call).await {
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -2,25 +2,30 @@
 
 use std::collections::HashSet;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use hyper::body::{Body as HttpBody, Frame, Incoming};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::admit::Admitted;
 use super::handle::Call;
 use super::reply::{Body, come_back, status, whole};
+use super::suspect::leave;
 use crate::boot::Boot;
 use crate::instance::Shared;
-use crate::instance::edge::Dispatch;
+use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
+use crate::names::Fingerprint;
 use crate::relay::call::{self, Answer, CallError, Outgoing};
 use crate::relay::choose::COME_BACK;
+use crate::relay::crash::{self, RequestParts, Sent};
 use crate::relay::load::Running;
 use crate::relay::pool::Lane;
-use crate::relay::repeat::{self, Done};
+use crate::relay::repeat::{self, Claim, Done};
 use crate::util::unix_ms;
 
 /// The instant at which a caller must have its answer.
@@ -40,8 +45,23 @@
         .map_or("/", http::uri::PathAndQuery::as_str)
 }
 
+fn parts<'a>(call: &'a Call, admitted: &'a Admitted) -> RequestParts<'a> {
+    RequestParts {
+        tenant: admitted.tenant.as_deref(),
+        host: &admitted.route.host,
+        method: &call.head.method,
+        target: target(call),
+        body: &call.body,
+    }
+}
+
 /// Passes a request on and gives the server's whole answer.
 pub async fn plain(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
+    let parts = parts(call, admitted);
+    let attempts = match leave(shared, &call.intake.id, &parts, admitted.route.attempts).await {
+        Ok(attempts) => attempts,
+        Err(refusal) => return *refusal,
+    };
     let job = repeat::Sending {
         id: &call.intake.id,
         route: &admitted.route,
@@ -50,6 +70,8 @@
         headers: &call.head.headers,
         body: call.body.clone(),
         tenant: admitted.tenant.as_deref(),
+        attempts,
+        claim: Claim::Answer,
         deadline: deadline(call, admitted),
     };
     let began = unix_ms();
@@ -73,11 +95,32 @@
     Response::from_parts(head, whole(body))
 }
 
+/// What a stream's end tells of its server.
+struct Watched {
+    shared: Rc<Shared>,
+    request: Fingerprint,
+    backend: Rc<Backend>,
+    sent: Boot,
+}
+
+impl Watched {
+    fn whole(self) {
+        crash::forgive(&self.shared, self.request);
+    }
+
+    fn broke(self) {
+        spawn_local(async move {
+            crash::broke(&self.shared, self.request, &self.backend, self.sent).await;
+        });
+    }
+}
+
 /// A stream on its way to the caller. Dropping it closes the server's connection unless the
 /// stream has ended.
 struct Relayed {
     body: Incoming,
     lane: Option<Lane>,
+    watched: Option<Watched>,
     _running: Running,
 }
 
@@ -90,17 +133,33 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        if let Poll::Ready(None) = polled
-            && let Some(lane) = self.lane.take()
-        {
-            lane.keep();
+        match &polled {
+            Poll::Ready(None) => {
+                if let Some(lane) = self.lane.take() {
+                    lane.keep();
+                }
+                if let Some(watched) = self.watched.take() {
+                    watched.whole();
+                }
+            }
+            Poll::Ready(Some(Err(_))) => {
+                if let Some(watched) = self.watched.take() {
+                    watched.broke();
+                }
+            }
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         polled
     }
 }
 
 /// Passes a stream on as it arrives.
-pub async fn stream(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
+pub async fn stream(shared: &Rc<Shared>, call: &Call, admitted: &Admitted) -> Response<Body> {
+    let parts = parts(call, admitted);
+    let id = &call.intake.id;
+    if let Err(refusal) = leave(shared, id, &parts, 1).await {
+        return *refusal;
+    }
     let deadline = deadline(call, admitted);
     let outgoing = Outgoing {
         method: call.head.method.clone(),
@@ -129,17 +188,29 @@
         };
         let limit = shared.connections(service);
         let dialect = &*shared.dialect;
-        let sent = call::send(&shared.pool, dialect, &backend, limit, &outgoing, &dispatch);
-        let arriving = match timeout(left, sent).await {
-            Ok(Ok(arriving)) => arriving,
+        let sent = Boot::now();
+        let watch = Sent::new(shared, parts, &backend);
+        let sending = call::send(&shared.pool, dialect, &backend, limit, &outgoing, &dispatch);
+        let arriving = match timeout(left, sending).await {
+            Ok(Ok(arriving)) => {
+                running.heard(backend.born);
+                watch.settled();
+                arriving
+            }
             Ok(Err(error @ (CallError::Unsent { .. } | CallError::Malformed { .. }))) => {
                 event!("call_failed", "id" => call.intake.id, "server" => backend.id,
                     "error" => error);
+                watch.settled();
                 continue;
             }
             Ok(Err(error)) => {
                 event!("call_failed", "id" => call.intake.id, "server" => backend.id,
                     "error" => error);
+                if error.is_cut() {
+                    watch.broke().await;
+                } else {
+                    watch.settled();
+                }
                 return status(StatusCode::BAD_GATEWAY);
             }
             Err(_) => return status(StatusCode::GATEWAY_TIMEOUT),
@@ -160,6 +231,12 @@
         let relayed = Relayed {
             body,
             lane: Some(lane),
+            watched: Some(Watched {
+                shared: Rc::clone(shared),
+                request: parts.fingerprint(),
+                backend,
+                sent,
+            }),
             _running: running,
         };
         return Response::from_parts(head, Body::Stream(Box::pin(relayed)));
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -6,3 +6,4 @@
 pub mod jobs;
 pub mod listen;
 pub mod reply;
+pub mod suspect;
--- /dev/null
+++ b/src/front/suspect.rs
@@ -0,0 +1,95 @@
+//! Leave for requests under which backend servers crashed.
+
+use std::time::Duration;
+
+use http::Response;
+use tokio::time::timeout;
+
+use super::reply::{Body, come_back};
+use crate::boot::Boot;
+use crate::instance::Shared;
+use crate::instance::events::event;
+use crate::ledger::crashes::Clearance;
+use crate::ledger::record::Record;
+use crate::ledger::writer::Outcome;
+use crate::names::Fingerprint;
+use crate::relay::crash::RequestParts;
+use crate::util::unix_ms;
+
+/// Time within which a trial is granted: an append, and a read of the ledger.
+const GRANTED: Duration = Duration::from_millis(1200);
+
+/// The servers that a request may run on, `attempts` if no crash is known under it.
+///
+/// # Errors
+/// The refusal of a request that has crashed too many servers.
+pub async fn leave(
+    shared: &Shared,
+    id: &str,
+    parts: &RequestParts<'_>,
+    attempts: u32,
+) -> Result<u32, Box<Response<Body>>> {
+    if shared.fold.borrow().crashes.is_empty() {
+        return Ok(attempts.max(1));
+    }
+    let request = parts.fingerprint();
+    let clearance = shared.fold.borrow().crashes.clearance(&request, unix_ms());
+    match clearance {
+        Clearance::Clear | Clearance::Suspect => Ok(attempts.max(1)),
+        Clearance::Refused { until } => Err(refuse(shared, id, &request, until)),
+        Clearance::Trial => {
+            let granted = is_granted(shared, &request).await;
+            event!("crash_trial", "id" => id, "request" => request, "granted" => granted);
+            if granted {
+                shared.metrics.crash("trial");
+                return Ok(1);
+            }
+            let until = match shared.fold.borrow().crashes.clearance(&request, unix_ms()) {
+                Clearance::Refused { until } => until,
+                Clearance::Clear | Clearance::Suspect | Clearance::Trial => unix_ms(),
+            };
+            Err(refuse(shared, id, &request, until))
+        }
+    }
+}
+
+fn refuse(shared: &Shared, id: &str, request: &Fingerprint, until: u64) -> Box<Response<Body>> {
+    let now = unix_ms();
+    let left = Duration::from_millis(until.saturating_sub(now)).max(super::admit::ELSEWHERE);
+    let (count, rewritten) = {
+        let crashes = &mut shared.fold.borrow_mut().crashes;
+        (crashes.count(request), crashes.rewrite(request, now))
+    };
+    event!("crasher_refused", "id" => id, "request" => request, "crashes" => count,
+        "retry_ms" => left.as_millis());
+    shared.metrics.crash("refused");
+    if let Some(crash) = rewritten {
+        // It is written whether or not anybody waits for it.
+        drop(shared.writer.push(&Record::Crashed(crash)));
+    }
+    Box::new(come_back(left))
+}
+
+/// Asks for the run that a refused request gets once its pause is over.
+async fn is_granted(shared: &Shared, request: &Fingerprint) -> bool {
+    let deadline = Boot::now() + GRANTED;
+    let record = Record::Trial {
+        request: request.clone(),
+        wall: unix_ms(),
+    };
+    let Outcome::Written(ack) = shared.writer.write(&record, deadline).await else {
+        return false;
+    };
+    loop {
+        let changed = shared.changed.notified();
+        if shared.fold.borrow().last >= Some(ack.offset) {
+            return shared.fold.borrow().crashes.is_granted(request, ack.offset);
+        }
+        let left = deadline.left(Boot::now());
+        if left.is_zero() {
+            return false;
+        }
+        // The fold is looked at again either way.
+        let _ = timeout(left, changed).await;
+    }
+}
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -7,8 +7,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use derive_more::Display;
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Request, request, response};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use super::deployment::Deployment;
@@ -145,6 +147,27 @@
     pub weights: BTreeMap<String, u64>,
 }
 
+/// One start of a backend server.
+#[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[display("{id}@{born}")]
+pub struct Life {
+    /// The server's id.
+    pub id: String,
+    /// Unix time of the start in milliseconds.
+    pub born: u64,
+}
+
+impl Backend {
+    /// This start of the server.
+    #[must_use]
+    pub fn life(&self) -> Life {
+        Life {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// A change of the servers' registry.
 #[derive(Clone, Debug)]
 pub struct ServerNews {
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -8,7 +8,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::Shared;
-use super::edge::{Log, OperatorNews, Page, STORE_ANSWER, ServerNews, StoreError};
+use super::edge::{
+    Life, Log, OperatorNews, Page, STORE_ANSWER, ServerNews, ServerState, StoreError,
+};
 use super::events::event;
 use super::leases::{is_standby, leads_service};
 use super::retry::Retry;
@@ -16,6 +18,7 @@
 use super::{leases, signs};
 use crate::boot::Boot;
 use crate::ledger::record::{Counted, Decoder, JobEvent, Record, Sign, Subject};
+use crate::relay::crash;
 
 /// Time for which the store holds a read until there is something new.
 ///
@@ -180,9 +183,23 @@
             let text = |state| format!("{state:?}");
             event!("server", "server" => news.id, "before" => text(before), "after" => text(after));
         }
+        if let Some(entry) = news.entry.as_ref()
+            && entry.state == ServerState::Draining
+        {
+            shared.silences.forget(&entry.life());
+        }
         fleet.apply(news, &contact, now);
     }
     fleet.prune(now);
+    let is_over = |life: &Life| {
+        fleet
+            .get(&life.id)
+            .is_none_or(|known| known.born != life.born)
+    };
+    let is_heard = |life: &Life, sent| shared.load.is_heard(life, sent);
+    for (request, life) in shared.silences.ended(now, is_over, is_heard) {
+        crash::crashed(shared, &request, &life);
+    }
     shared
         .pool
         .retain(|id, born| fleet.get(id).is_some_and(|known| known.born == born));
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -20,6 +20,8 @@
     pub latency: HistogramVec,
     /// Items by how a run ended.
     pub items: IntCounterVec,
+    /// Crashes of servers under requests: seen here, forgiven, requests refused, trials.
+    pub crashes: IntCounterVec,
     /// Present values: jobs open, items running, instances alive, connections opened.
     pub present: IntGaugeVec,
 }
@@ -38,21 +40,33 @@
         let latency = HistogramVec::new(latency, &["route"])?;
         let items = Opts::new("basillead_items_total", "Runs of items by their end");
         let items = IntCounterVec::new(items, &["end"])?;
+        let crashes = Opts::new(
+            "basillead_crashes_total",
+            "Crashes of backend servers under callers' requests",
+        );
+        let crashes = IntCounterVec::new(crashes, &["event"])?;
         let present = Opts::new("basillead_present", "Present values");
         let present = IntGaugeVec::new(present, &["what"])?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(items.clone()))?;
+        registry.register(Box::new(crashes.clone()))?;
         registry.register(Box::new(present.clone()))?;
         Ok(Self {
             registry,
             requests,
             latency,
             items,
+            crashes,
             present,
         })
     }
 
+    /// Notes what came of a crash.
+    pub fn crash(&self, event: &str) {
+        self.crashes.with_label_values(&[event]).inc();
+    }
+
     /// Notes the end of a caller's request.
     pub fn request(&self, route: &str, outcome: &str, took: Duration) {
         self.requests.with_label_values(&[route, outcome]).inc();
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -32,6 +32,7 @@
 use crate::ledger::record::{Counts, Incarnation, Subject};
 use crate::ledger::writer::Writer;
 use crate::relay::choose::{Candidate, choose};
+use crate::relay::crash::Silences;
 use crate::relay::load::Load;
 use crate::relay::pool::Pool;
 use contact::Contact;
@@ -115,6 +116,8 @@
     pub pool: Pool,
     /// Load of backend servers as seen here.
     pub load: Load,
+    /// Requests that got no answer.
+    pub silences: Silences,
     /// Requests that began to run, by usage window and tenant.
     pub usage: RefCell<BTreeMap<u64, Counts>>,
     /// When the latest renewals were made, by number.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -26,6 +26,7 @@
 use crate::ledger::fold::Fold;
 use crate::ledger::record::Incarnation;
 use crate::ledger::writer::Writer;
+use crate::relay::crash::Silences;
 use crate::relay::load::Load;
 use crate::relay::pool::Pool;
 use crate::util::{random_id, stop_signal, unix_ms};
@@ -171,6 +172,7 @@
         renew: Notify::new(),
         pool: Pool::default(),
         load: Load::default(),
+        silences: Silences::default(),
         usage: RefCell::default(),
         renewals: RefCell::default(),
         leaving: Cell::new(None),
@@ -217,6 +219,7 @@
         let kept = shared.settings.bounds.job_kept + JOB_MARGIN;
         let mut fold = shared.fold.borrow_mut();
         fold.jobs.prune(unix_ms(), kept);
+        fold.crashes.prune(unix_ms());
         let seen = shared.contacts.borrow().signs.seen.unwrap_or_default();
         let mut members = shared.members.borrow_mut();
         members
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
+use super::crashes::Crashes;
 use super::record::{Counts, Incarnation, JobEvent, Record, Renewal, Subject};
 use crate::boot::Boot;
 use crate::job::Jobs;
@@ -37,6 +38,10 @@
     pub jobs: Jobs,
     /// Figures of usage windows that are fixed, and whether the platform has them.
     pub windows: BTreeMap<u64, (Counts, bool)>,
+    /// Requests under which backend servers crashed.
+    pub crashes: Crashes,
+    /// Offset of the last record of the ledger that was applied.
+    pub last: Option<u64>,
 }
 
 impl Fold {
@@ -51,6 +56,7 @@
 
     /// Applies the ledger's record at `offset`, read at `received`.
     pub fn apply(&mut self, record: Record, offset: u64, received: Boot) {
+        self.last = Some(offset);
         match record {
             Record::Renewal(renewal) => self.renew(&renewal, offset, received),
             Record::Claim {
@@ -83,6 +89,9 @@
                     self.windows.pop_first();
                 }
             }
+            Record::Crashed(crash) => self.crashes.note(crash),
+            Record::Trial { request, wall } => self.crashes.ask(&request, wall, offset),
+            Record::Forgiven { request, wall } => self.crashes.forgive(request, wall),
             Record::Reported { window } => {
                 if let Some((_, reported)) = self.windows.get_mut(&window) {
                     *reported = true;
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod ages;
 pub mod counters;
+pub mod crashes;
 pub mod drafts;
 pub mod fold;
 pub mod lease;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -1,6 +1,6 @@
 //! Records of the instances' logs, and their framing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 
@@ -9,8 +9,10 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::instance::edge::Life;
 use crate::instance::events::event;
 use crate::job::{Content, JobRecord, Listed};
+use crate::names::Fingerprint;
 
 /// One start of an instance's process.
 #[derive(
@@ -100,6 +102,19 @@
     Contents(Vec<Content>),
 }
 
+/// Backend servers that crashed while they ran a request.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Crash {
+    /// The request.
+    pub request: Fingerprint,
+    /// The servers.
+    pub lives: BTreeSet<Life>,
+    /// Unix time in milliseconds of the last crash.
+    pub last: u64,
+    /// Unix time in milliseconds at which the record was made.
+    pub made: u64,
+}
+
 /// A record of the ledger.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Record {
@@ -135,6 +150,22 @@
         /// Number of the window.
         window: u64,
     },
+    /// Backend servers crashed while they ran a request.
+    Crashed(Crash),
+    /// Asks for a run of a request that is refused; the first one that is due counts.
+    Trial {
+        /// The request.
+        request: Fingerprint,
+        /// Unix time in milliseconds.
+        wall: u64,
+    },
+    /// A request under which servers crashed ran to its end.
+    Forgiven {
+        /// The request.
+        request: Fingerprint,
+        /// Unix time in milliseconds.
+        wall: u64,
+    },
 }
 
 /// A record of the log of jobs.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -73,6 +73,18 @@
         )
     }
 
+    /// Whether the connection was cut under the request, rather than the answer being wrong.
+    #[must_use]
+    pub fn is_cut(&self) -> bool {
+        match self {
+            Self::Broken { source, .. } => !source.is_parse(),
+            Self::Body { source } => source
+                .downcast_ref::<hyper::Error>()
+                .is_some_and(|source| !source.is_parse()),
+            Self::Unsent { .. } | Self::Malformed { .. } | Self::Foreign | Self::Late => false,
+        }
+    }
+
     /// Whether only this instance's share of connections was used up.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/src/relay/load.rs
+++ b/src/relay/load.rs
@@ -5,11 +5,14 @@
 use std::rc::Rc;
 
 use crate::boot::Boot;
+use crate::instance::edge::Life;
 
 #[derive(Debug, Default)]
 struct Known {
     running: usize,
     suspect: Boot,
+    /// Start of the server that answered last, and when.
+    heard: Option<(u64, Boot)>,
 }
 
 /// Requests under way and recent failures by backend server. Clones share them.
@@ -33,7 +36,24 @@
     }
 }
 
+impl Running {
+    /// Notes that the server, which started at Unix time `born`, has answered.
+    pub fn heard(&self, born: u64) {
+        if let Some(known) = self.load.known.borrow_mut().get_mut(&self.id) {
+            known.heard = Some((born, Boot::now()));
+        }
+    }
+}
+
 impl Load {
+    /// Whether a server has answered since `sent`.
+    #[must_use]
+    pub fn is_heard(&self, life: &Life, sent: Boot) -> bool {
+        let known = self.known.borrow();
+        let heard = known.get(&life.id).and_then(|known| known.heard);
+        heard.is_some_and(|(born, at)| born == life.born && at > sent)
+    }
+
     /// Counts a request to a server.
     #[must_use]
     pub fn enter(&self, id: &str) -> Running {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod call;
 pub mod choose;
+pub mod crash;
 pub mod load;
 pub mod pool;
 pub mod repeat;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -49,6 +49,17 @@
     Exhausted,
 }
 
+/// Whether a backend server takes connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Probe {
+    /// It does.
+    Up,
+    /// Nothing listens on its address.
+    Down,
+    /// That could not be found out.
+    Unknown,
+}
+
 /// One start of a backend server.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 struct Key {
@@ -176,6 +187,12 @@
                 idle: IDLE_DEFAULT,
             });
         }
+        self.connect(backend, limit).await
+    }
+
+    /// Makes a new connection to a backend server.
+    async fn connect(&self, backend: &Backend, limit: usize) -> Result<Lane, PoolError> {
+        let key = Key::of(backend);
         if self
             .slots
             .borrow()
@@ -206,6 +223,20 @@
         })
     }
 
+    /// Whether a backend server takes connections; one that is made is kept.
+    pub async fn probe(&self, backend: &Backend, limit: usize) -> Probe {
+        match self.connect(backend, limit).await {
+            Ok(lane) => {
+                lane.keep();
+                Probe::Up
+            }
+            Err(PoolError::Refused { .. }) => Probe::Down,
+            Err(PoolError::Silent | PoolError::Handshake { .. } | PoolError::Exhausted) => {
+                Probe::Unknown
+            }
+        }
+    }
+
     /// The connection that a request to a backend server would take.
     #[must_use]
     pub fn link(&self, backend: &Backend, now: Boot) -> Link {
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -12,12 +12,15 @@
 
 use super::call::{self, Answer, CallError, Outgoing};
 use super::choose::{Ended, Limits, Next, after, hedge_at};
+use super::crash::{self, RequestParts, Sent};
+use super::load::Running;
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::deployment::{Handling, Route};
 use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
-use crate::names::Fingerprint;
+use crate::ledger::crashes::Clearance;
+use crate::util::unix_ms;
 
 /// Shortest time in which another attempt can be of use.
 const USEFUL: Duration = Duration::from_millis(15);
@@ -43,21 +46,43 @@
     pub body: bytes::Bytes,
     /// Tenant, if one is known.
     pub tenant: Option<&'a str>,
+    /// Servers that it may run on.
+    pub attempts: u32,
+    /// What it is owed.
+    pub claim: Claim,
     /// When the caller must have an answer.
     pub deadline: Boot,
 }
 
+/// What a request is owed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// An answer, which may be that it failed or is refused.
+    Answer,
+    /// A run: it was taken on for later, and no crash under it makes it suspect.
+    Run,
+}
+
 impl Sending<'_> {
-    /// What the request has in common with others of the same tenant, path and body.
-    fn fingerprint(&self) -> Fingerprint {
-        let parts: [&[u8]; 5] = [
-            self.tenant.unwrap_or_default().as_bytes(),
-            self.route.host.as_bytes(),
-            self.method.as_str().as_bytes(),
-            self.target.as_bytes(),
-            &self.body,
-        ];
-        Fingerprint::of(&parts)
+    /// What makes it a repeat of other requests.
+    #[must_use]
+    pub fn parts(&self) -> RequestParts<'_> {
+        RequestParts {
+            tenant: self.tenant,
+            host: &self.route.host,
+            method: &self.method,
+            target: self.target,
+            body: &self.body,
+        }
+    }
+
+    /// What its repeats may do, as far as is known now.
+    fn clearance(&self, shared: &Shared) -> Clearance {
+        let crashes = &shared.fold.borrow().crashes;
+        if self.claim == Claim::Run || crashes.is_empty() {
+            return Clearance::Clear;
+        }
+        crashes.clearance(&self.parts().fingerprint(), unix_ms())
     }
 }
 
@@ -91,6 +116,14 @@
 
 /// Sends a request, to several servers if need be, and gives the best answer.
 pub async fn run(shared: &Shared, sending: &Sending<'_>) -> Done {
+    let done = attempts(shared, sending).await;
+    if matches!(done, Done::Answered { .. }) && sending.claim == Claim::Answer {
+        crash::ran(shared, &sending.parts());
+    }
+    done
+}
+
+async fn attempts(shared: &Shared, sending: &Sending<'_>) -> Done {
     let repeatable = sending.route.kind == Handling::Idempotent;
     let service = sending.route.target(rand::random());
     let mut tally = Tally::default();
@@ -105,7 +138,11 @@
             tally.begin(&backend);
             calls.push(attempt(shared, sending, backend));
         }
-        let may_hedge = repeatable && !tally.hedged && tally.runs < sending.route.attempts;
+        // A copy of a request that crashes servers would crash one more.
+        let may_hedge = repeatable
+            && !tally.hedged
+            && tally.runs < sending.attempts
+            && sending.clearance(shared) == Clearance::Clear;
         let wake = if may_hedge {
             hedge_at(now, sending.route.objective).min(sending.deadline)
         } else {
@@ -142,7 +179,9 @@
                 }
                 let limits = limits(shared, sending, service, now);
                 let next = after(ended, repeatable, tally.runs, tally.refusals, limits);
-                if next == Next::Stop {
+                let clearance = sending.clearance(shared);
+                let is_cleared = matches!(clearance, Clearance::Clear | Clearance::Suspect);
+                if next == Next::Stop || !is_cleared {
                     return tally.finish();
                 }
                 if ended == Ended::NotRun && tally.refusals.is_multiple_of(limits.servers.max(1)) {
@@ -157,7 +196,7 @@
 
 fn limits(shared: &Shared, sending: &Sending<'_>, service: &str, now: Boot) -> Limits {
     Limits {
-        attempts: sending.route.attempts.max(1),
+        attempts: sending.attempts,
         servers: u32::try_from(shared.count(service)).unwrap_or(u32::MAX),
         now,
         deadline: sending.deadline,
@@ -211,13 +250,13 @@
     sending: &Sending<'_>,
     backend: Rc<Backend>,
 ) -> (Rc<Backend>, Result<Answer, CallError>) {
-    let _running = shared.load.enter(&backend.id);
-    let first = send(shared, sending, &backend).await;
+    let running = shared.load.enter(&backend.id);
+    let first = send(shared, sending, &backend, &running).await;
     let is_stale = first.as_ref().is_err_and(CallError::is_stale);
     if !is_stale || sending.route.kind != Handling::Idempotent {
         return (backend, first);
     }
-    let second = send(shared, sending, &backend).await;
+    let second = send(shared, sending, &backend, &running).await;
     let ran = match &second {
         Ok(answer) => !answer.is_not_run(),
         Err(error) => !error.is_unsent(),
@@ -230,6 +269,7 @@
     shared: &Shared,
     sending: &Sending<'_>,
     backend: &Backend,
+    running: &Running,
 ) -> Result<Answer, CallError> {
     let outgoing = Outgoing {
         method: sending.method.clone(),
@@ -246,16 +286,26 @@
     };
     let limit = shared.connections(&backend.service);
     let dialect = &*shared.dialect;
+    let watched = sending.claim == Claim::Answer;
+    let sent = watched.then(|| Sent::new(shared, sending.parts(), backend));
     let arriving = call::send(&shared.pool, dialect, backend, limit, &outgoing, &dispatch).await;
     let result = match arriving {
         Ok(arriving) => call::finish(arriving).await,
         Err(error) => Err(error),
     };
-    if let Err(error) = &result
-        && !error.is_unsent()
-    {
-        event!("call_broken", "id" => sending.id, "request" => sending.fingerprint(),
-            "server" => backend.id, "born" => backend.born, "error" => error);
+    match &result {
+        Ok(_) => running.heard(backend.born),
+        Err(error) if !error.is_unsent() => {
+            event!("call_broken", "id" => sending.id,
+                "request" => sending.parts().fingerprint(), "server" => backend.id,
+                "born" => backend.born, "error" => error);
+        }
+        Err(_) => {}
+    }
+    match sent {
+        Some(sent) if result.as_ref().is_err_and(CallError::is_cut) => sent.broke().await,
+        Some(sent) => sent.settled(),
+        None => {}
     }
     result
 }
--- /dev/null
+++ b/tests/instance/crashes.rs
@@ -0,0 +1,252 @@
+//! Crashes of backend servers by request, replayed without sockets.
+
+use std::collections::BTreeSet;
+
+use basillead::instance::edge::Life;
+use basillead::ledger::crashes::{Clearance, Crashes};
+use basillead::ledger::fold::Fold;
+use basillead::ledger::record::{Crash, Record};
+use basillead::names::Fingerprint;
+use proptest::prelude::*;
+
+use crate::at;
+
+/// Time within which each instance has read what another one wrote, in milliseconds.
+const LAG: u64 = 900;
+/// Time after the third crash from which runs count, in milliseconds: `contactMs` of the users'
+/// sites.
+const KNOWN: u64 = 3_000;
+/// Runs that the users allow after that.
+const ALLOWED: usize = 3;
+/// Runs of one attempt of a caller.
+const ATTEMPTS: usize = 3;
+
+fn request() -> Fingerprint {
+    Fingerprint::of(&["studio", "desk.example", "/one"])
+}
+
+fn life(number: u64) -> Life {
+    Life {
+        id: format!("s{number}"),
+        born: number,
+    }
+}
+
+fn crash(number: u64, wall: u64) -> Crash {
+    Crash {
+        request: request(),
+        lives: BTreeSet::from([life(number)]),
+        last: wall,
+        made: wall,
+    }
+}
+
+/// An instance that folds the common log with a lag.
+struct Instance {
+    fold: Fold,
+    read: usize,
+}
+
+impl Instance {
+    fn read(&mut self, log: &[(u64, Record)], now: u64) {
+        while let Some((wall, record)) = log.get(self.read).filter(|(wall, _)| wall + LAG <= now) {
+            let offset = self.read as u64;
+            self.fold.apply(record.clone(), offset, at(*wall));
+            self.read += 1;
+        }
+    }
+
+    fn clearance(&self, now: u64) -> Clearance {
+        self.fold.crashes.clearance(&request(), now)
+    }
+}
+
+/// Plays a request that crashes each server, arriving at instances at some times; gives the
+/// times of its runs. An instance in `restarts` forgets all that it knows before its turn.
+fn play(arrivals: &[(u64, usize)], restarts: &[usize]) -> Vec<u64> {
+    let new = || Instance {
+        fold: Fold::default(),
+        read: 0,
+    };
+    let mut instances: Vec<Instance> = (0..4).map(|_| new()).collect();
+    let mut log: Vec<(u64, Record)> = Vec::new();
+    let mut runs = Vec::new();
+    for (turn, (wall, at_instance)) in arrivals.iter().enumerate() {
+        let instance = &mut instances[*at_instance];
+        if restarts.contains(&turn) {
+            *instance = new();
+        }
+        instance.read(&log, *wall);
+        let mut attempts = match instance.clearance(*wall) {
+            Clearance::Refused { .. } => continue,
+            Clearance::Clear | Clearance::Suspect => ATTEMPTS,
+            Clearance::Trial => {
+                let offset = log.len() as u64;
+                let record = Record::Trial {
+                    request: request(),
+                    wall: *wall,
+                };
+                log.push((*wall, record));
+                instance.read(&log, *wall + LAG);
+                if !instance.fold.crashes.is_granted(&request(), offset) {
+                    continue;
+                }
+                1
+            }
+        };
+        while attempts > 0 {
+            runs.push(*wall);
+            let crash = crash(runs.len() as u64, *wall);
+            instance.fold.crashes.note(crash.clone());
+            log.push((*wall, Record::Crashed(crash)));
+            attempts -= 1;
+            if !matches!(
+                instance.clearance(*wall),
+                Clearance::Clear | Clearance::Suspect
+            ) {
+                break;
+            }
+        }
+    }
+    runs
+}
+
+fn late(runs: &[u64]) -> usize {
+    let third = runs.get(2).copied().unwrap_or(u64::MAX);
+    let is_late = |run: &&u64| **run > third.saturating_add(KNOWN);
+    runs.iter().filter(is_late).count()
+}
+
+#[test]
+fn crashes_of_a_request_that_comes_each_second() {
+    let arrivals: Vec<(u64, usize)> = (0..600)
+        .zip((0..4).cycle())
+        .map(|(n, at)| (n * 1000, at))
+        .collect();
+    let runs = play(&arrivals, &[]);
+    assert_eq!(runs[..3], [0, 0, 0]);
+    assert!(late(&runs) <= ALLOWED, "{runs:?}");
+    assert!(runs.len() <= 3 + ALLOWED, "{runs:?}");
+}
+
+proptest! {
+    #[test]
+    fn crashes_any_arrivals_and_restarts(
+        gaps in prop::collection::vec((0_u64..4_000, 0_usize..4), 1..150),
+        restarts in prop::collection::vec(0_usize..150, 0..12),
+    ) {
+        let mut wall = 1_000_000;
+        let arrivals: Vec<(u64, usize)> = gaps
+            .into_iter()
+            .map(|(gap, instance)| {
+                wall += gap;
+                (wall, instance)
+            })
+            .collect();
+        let runs = play(&arrivals, &restarts);
+        prop_assert!(late(&runs) <= ALLOWED, "{runs:?}");
+    }
+
+    #[test]
+    fn crashes_in_any_order_fold_alike(order in Just((1_u64..7).collect::<Vec<u64>>()).prop_shuffle()) {
+        let mut crashes = Crashes::default();
+        for number in order {
+            crashes.note(crash(number, number * 100));
+            crashes.note(crash(number, number * 100));
+        }
+        let mut sorted = Crashes::default();
+        for number in 1..7 {
+            sorted.note(crash(number, number * 100));
+        }
+        prop_assert_eq!(crashes.count(&request()), 6);
+        prop_assert_eq!(crashes.clearance(&request(), 700), sorted.clearance(&request(), 700));
+    }
+}
+
+#[test]
+fn crashes_refuse_from_the_third() {
+    let mut crashes = Crashes::default();
+    assert_eq!(crashes.clearance(&request(), 0), Clearance::Clear);
+    crashes.note(crash(1, 100));
+    crashes.note(crash(1, 100));
+    crashes.note(crash(2, 200));
+    assert_eq!(crashes.clearance(&request(), 300), Clearance::Suspect);
+    crashes.note(crash(3, 300));
+    let Clearance::Refused { until } = crashes.clearance(&request(), 300) else {
+        panic!("it runs on after three crashes");
+    };
+    assert_eq!(crashes.clearance(&request(), until), Clearance::Trial);
+    crashes.note(crash(4, until));
+    let Clearance::Refused { until: later } = crashes.clearance(&request(), until) else {
+        panic!("it runs on after four crashes");
+    };
+    assert!(later - until > until - 300, "the pause does not grow");
+}
+
+#[test]
+fn crashes_one_trial_at_a_time() {
+    let mut crashes = Crashes::default();
+    for number in 1..4 {
+        crashes.note(crash(number, 0));
+    }
+    let Clearance::Refused { until } = crashes.clearance(&request(), 0) else {
+        panic!("it runs on after three crashes");
+    };
+    crashes.ask(&request(), until - 1, 7);
+    assert!(!crashes.is_granted(&request(), 7), "before it was due");
+    crashes.ask(&request(), until, 8);
+    crashes.ask(&request(), until, 9);
+    assert!(crashes.is_granted(&request(), 8));
+    assert!(!crashes.is_granted(&request(), 9), "two at once");
+}
+
+#[test]
+fn crashes_are_forgiven_by_a_run() {
+    let mut crashes = Crashes::default();
+    for number in 1..4 {
+        crashes.note(crash(number, 100));
+    }
+    crashes.forgive(request(), 200);
+    assert_eq!(crashes.clearance(&request(), 300), Clearance::Clear);
+    // Another instance's late record of the same crashes.
+    crashes.note(crash(2, 100));
+    assert_eq!(crashes.clearance(&request(), 300), Clearance::Clear);
+    crashes.note(crash(5, 250));
+    assert_eq!(crashes.clearance(&request(), 300), Clearance::Suspect);
+    // A run that ended before a crash says nothing of it.
+    crashes.forgive(request(), 240);
+    assert_eq!(crashes.clearance(&request(), 300), Clearance::Suspect);
+}
+
+#[test]
+fn crashes_are_written_again_while_refused() {
+    let mut crashes = Crashes::default();
+    for number in 1..4 {
+        crashes.note(crash(number, 0));
+    }
+    assert_eq!(crashes.rewrite(&request(), 1_000), None);
+    let again = crashes.rewrite(&request(), 61_000).expect("an old record");
+    assert_eq!((again.lives.len(), again.last), (3, 0));
+    assert_eq!(crashes.rewrite(&request(), 62_000), None);
+    let mut other = Crashes::default();
+    other.note(again);
+    assert_eq!(
+        other.clearance(&request(), 62_000),
+        crashes.clearance(&request(), 62_000)
+    );
+}
+
+#[test]
+fn crashes_are_bounded() {
+    let mut crashes = Crashes::default();
+    for number in 0..10_000_u64 {
+        crashes.note(Crash {
+            request: Fingerprint::of(&[number.to_string()]),
+            ..crash(number, 0)
+        });
+        crashes.note(crash(number, 0));
+    }
+    assert!(crashes.len() < 5_000, "{} requests", crashes.len());
+    crashes.prune(u64::MAX);
+    assert!(crashes.is_empty());
+}
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod carry;
+mod crashes;
 mod drafts;
 mod fleet;
 mod fold;
