Count answers of 500 to items and scorers in the log of jobs

Callers saw: nothing yet; servers got an item that fails at each run once more for each change of its leader, up to two answers of 500 more a change, where the users allow three times a route's attempts in all. Cause: the same as for requests that crash servers: a bound counted in the memory of one process, while the work moves between processes. A scorer's answers were not even counted until its whole call had ended. Why it works: each answer is a record of the log of jobs, which a new leader reads to its end before it starts an item.

--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -1,6 +1,7 @@
 //! Makes one sample: runs it on engines until its text is whole, then has it scored.
 
 use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -8,10 +9,12 @@
 use tokio::time::{sleep, timeout};
 
 use super::events::EventReader;
+use super::failures::Failures;
 use super::pace::Stopwatch;
 use super::sample::{Fit, Misfit, Sample};
 use crate::boot::Boot;
 use crate::instance::Shared;
+use crate::instance::deployment::Route;
 use crate::instance::edge::{Backend, Dispatch};
 use crate::instance::events::event;
 use crate::job::{Content, Item, ItemEnd, Scorer};
@@ -245,8 +248,12 @@
 }
 
 /// Has a whole sample scored; gives how it ends, with the scorer's signature.
-pub async fn score(shared: &Shared, task: &Task, scorer: &Scorer) -> (ItemEnd, Option<String>) {
-    let mut failures = 0;
+pub(super) async fn score(
+    shared: &Shared,
+    task: &Task,
+    scorer: &Scorer,
+    failures: &Failures<'_>,
+) -> (ItemEnd, Option<String>) {
     let mut pause = SCORE_PAUSE;
     loop {
         let deployment = shared.deployment();
@@ -254,39 +261,14 @@
             .as_ref()
             .and_then(|known| known.route(&scorer.host, &scorer.path));
         if let Some(route) = route {
-            let mut headers = HeaderMap::new();
-            if let Ok(host) = HeaderValue::from_str(&scorer.host) {
-                headers.insert(header::HOST, host);
-            }
-            let call = repeat::Sending {
-                id: &scorer.id,
-                route,
-                method: Method::POST,
-                target: &scorer.path,
-                headers: &headers,
-                body: scorer.body.clone(),
-                tenant: None,
-                attempts: route.attempts.max(1),
-                claim: Claim::Run,
-                deadline: Boot::now() + route.timeout,
-            };
-            match repeat::run(shared, &call).await {
-                Done::Answered { answer, .. } if answer.is_success() => {
-                    return (ItemEnd::Complete, answer.reply.stamp);
-                }
-                Done::Answered {
-                    answer,
-                    failures: more,
-                } => {
-                    event!("score_failed", "item" => task.item.id, "scorer" => scorer.id,
-                        "status" => answer.whole.status().as_u16(), "failures" => failures + more);
-                    failures += more;
-                }
-                Done::NotRun | Done::Unknown => {
-                    event!("score_missed", "item" => task.item.id, "scorer" => scorer.id);
-                }
+            // Some may have come under a former leader.
+            let left = || route.attempts.max(1).saturating_sub(failures.count());
+            if left() > 0
+                && let Some(stamp) = ask(shared, task, scorer, route, left(), failures).await
+            {
+                return (ItemEnd::Complete, Some(stamp));
             }
-            if failures >= route.attempts.max(1) {
+            if left() == 0 {
                 return (ItemEnd::Dead, None);
             }
         }
@@ -294,3 +276,43 @@
         pause = (pause * 2).min(SCORE_PAUSE_MAX);
     }
 }
+
+/// Calls a scorer, on `attempts` servers at most; gives its signature if it succeeds.
+async fn ask(
+    shared: &Shared,
+    task: &Task,
+    scorer: &Scorer,
+    route: &Rc<Route>,
+    attempts: u32,
+    failures: &Failures<'_>,
+) -> Option<String> {
+    let mut headers = HeaderMap::new();
+    if let Ok(host) = HeaderValue::from_str(&scorer.host) {
+        headers.insert(header::HOST, host);
+    }
+    let failed = || failures.note();
+    let call = repeat::Sending {
+        id: &scorer.id,
+        route,
+        method: Method::POST,
+        target: &scorer.path,
+        headers: &headers,
+        body: scorer.body.clone(),
+        tenant: None,
+        attempts,
+        claim: Claim::Run,
+        failed: Some(&failed),
+        deadline: Boot::now() + route.timeout,
+    };
+    match repeat::run(shared, &call).await {
+        Done::Answered(answer) if answer.is_success() => return answer.reply.stamp,
+        Done::Answered(answer) => {
+            event!("score_failed", "item" => task.item.id, "scorer" => scorer.id,
+                "status" => answer.whole.status().as_u16(), "failures" => failures.count());
+        }
+        Done::NotRun | Done::Unknown => {
+            event!("score_missed", "item" => task.item.id, "scorer" => scorer.id);
+        }
+    }
+    None
+}
--- a/src/drive/make.rs
+++ b/src/drive/make.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use super::Driver;
+use super::failures::Failures;
 use super::item::{self, RunEnd, Task};
 use super::sample::{Fit, Sample};
 use crate::boot::Boot;
@@ -55,8 +56,6 @@
 struct Draft {
     sample: RefCell<Sample>,
     whole: Cell<bool>,
-    /// Answers of servers that failed, and the job that got them.
-    failures: RefCell<(String, u32)>,
     /// Fencing number of the lease under which its text was saved last.
     fence: Cell<u64>,
     used: Cell<Boot>,
@@ -167,16 +166,6 @@
         self.sample.replace(Sample::default());
         self.whole.set(false);
     }
-
-    /// Counts a failure of a job's item.
-    fn fail(&self, job: &str) -> u32 {
-        let mut failures = self.failures.borrow_mut();
-        if failures.0 != job {
-            *failures = (job.to_owned(), 0);
-        }
-        failures.1 += 1;
-        failures.1
-    }
 }
 
 /// Runs a task on a server; lists its result or leaves it to another run.
@@ -197,7 +186,7 @@
             .with_label_values(&[&format!("{end:?}")])
             .inc();
         draft.used.set(Boot::now());
-        if !settle(driver, task, backend, &draft, end, attempts) {
+        if !settle(driver, task, backend, end, attempts) {
             return;
         }
         draft.whole.set(true);
@@ -225,14 +214,7 @@
 }
 
 /// Acts on the end of a run; tells whether the text is whole.
-fn settle(
-    driver: &Driver,
-    task: &Task,
-    backend: &Backend,
-    draft: &Draft,
-    end: RunEnd,
-    attempts: u32,
-) -> bool {
+fn settle(driver: &Driver, task: &Task, backend: &Backend, end: RunEnd, attempts: u32) -> bool {
     let now = Boot::now();
     match end {
         RunEnd::Whole => return true,
@@ -241,7 +223,9 @@
             return false;
         }
         RunEnd::Failed => {
-            if draft.fail(&task.job) >= attempts {
+            let failures = Failures::new(driver, &task.job, &task.item.id);
+            failures.note();
+            if failures.count() >= attempts {
                 driver.list(&task.job, &task.item.id, Ended::Dead);
                 return false;
             }
@@ -266,7 +250,10 @@
     /// Has a whole text scored, and lists it.
     pub(super) async fn finish(&self, task: &Task, text: ItemText) {
         let (end, score) = match &task.content.scorer {
-            Some(scorer) => item::score(&self.shared, task, scorer).await,
+            Some(scorer) => {
+                let failures = Failures::new(self, &task.job, &scorer.id);
+                item::score(&self.shared, task, scorer, &failures).await
+            }
             None => (ItemEnd::Complete, None),
         };
         let ended = match end {
--- a/src/drive/mod.rs
+++ b/src/drive/mod.rs
@@ -3,6 +3,7 @@
 pub mod assign;
 pub mod carry;
 pub mod events;
+mod failures;
 pub mod item;
 mod make;
 pub mod moves;
@@ -57,7 +58,7 @@
 /// Time after its last event from which on a server's pace is not known any more.
 const PACE_KEPT: Duration = Duration::from_secs(4);
 
-/// An item of a job, or a group of one.
+/// An item, a group of items or a scorer's call of a job.
 type Key = (String, String);
 
 /// A run under way, or a result on its way to the log.
@@ -100,6 +101,8 @@
     looked: Cell<Boot>,
     /// How long samples are, by model.
     lengths: RefCell<HashMap<String, Lengths>>,
+    /// Answers of status 500 to items and scorers' calls of jobs.
+    failures: RefCell<HashMap<Key, u32>>,
     /// The model that a server is kept for, by the server's id.
     kept: RefCell<BTreeMap<String, String>>,
 }
@@ -121,6 +124,7 @@
             renewed: RefCell::default(),
             looked: Cell::default(),
             lengths: RefCell::default(),
+            failures: RefCell::default(),
             kept: RefCell::default(),
         })
     }
@@ -341,6 +345,7 @@
         let open = |job: &str| fold.jobs.get(job).is_some_and(|job| !job.is_finished());
         self.homes.borrow_mut().retain(|(job, _), _| open(job));
         self.renewed.borrow_mut().retain(|(job, _), _| open(job));
+        self.failures.borrow_mut().retain(|(job, _), _| open(job));
         self.drafts.forget(Boot::now());
         let fleet = self.shared.fleet.borrow();
         self.places
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -72,6 +72,7 @@
         tenant: admitted.tenant.as_deref(),
         attempts,
         claim: Claim::Answer,
+        failed: None,
         deadline: deadline(call, admitted),
     };
     let began = unix_ms();
@@ -82,7 +83,7 @@
         shared.count_usage(tenant, began);
     }
     match done {
-        Done::Answered { answer, .. } => pass(*answer),
+        Done::Answered(answer) => pass(*answer),
         Done::NotRun => come_back(COME_BACK),
         Done::Unknown if Boot::now() >= job.deadline => status(StatusCode::GATEWAY_TIMEOUT),
         Done::Unknown => status(StatusCode::BAD_GATEWAY),
--- a/src/job/mod.rs
+++ b/src/job/mod.rs
@@ -139,6 +139,8 @@
     pub order: u64,
     /// Estimate of the output of all its items in tokens.
     pub tokens: u64,
+    /// Answers of status 500 by request: an item, or its scorer's call.
+    failures: HashMap<String, u32>,
     index: HashMap<String, usize>,
 }
 
@@ -149,6 +151,12 @@
         self.index.get(id).copied()
     }
 
+    /// Answers of status 500 to a request of this job, as far as the log has them.
+    #[must_use]
+    pub fn failures(&self, request: &str) -> u32 {
+        self.failures.get(request).copied().unwrap_or_default()
+    }
+
     /// Whether nothing is left to do.
     #[must_use]
     pub fn is_finished(&self) -> bool {
@@ -179,6 +187,7 @@
             ended: false,
             order: self.accepted,
             tokens: record.items.iter().map(|item| item.hint).sum(),
+            failures: HashMap::new(),
             index,
             record,
         };
@@ -200,6 +209,13 @@
         }
     }
 
+    /// Counts an answer of status 500 to a request of a job.
+    pub fn fail(&mut self, job: &str, request: String) {
+        if let Some(job) = self.known.get_mut(job) {
+            *job.failures.entry(request).or_default() += 1;
+        }
+    }
+
     /// Ends a job.
     pub fn end(&mut self, job: &str) {
         if let Some(job) = self.known.get_mut(job) {
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -50,6 +50,7 @@
         match event {
             JobEvent::Job(job) => self.jobs.accept(*job),
             JobEvent::Listed { job, result } => self.jobs.list(&job, result),
+            JobEvent::Failed { job, request } => self.jobs.fail(&job, request),
             JobEvent::End { job } => self.jobs.end(&job),
         }
     }
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -180,6 +180,13 @@
         /// The result.
         result: Listed,
     },
+    /// A server answered with status 500 to an item, or to its scorer's call.
+    Failed {
+        /// The job.
+        job: String,
+        /// Id of the request: the item's, or the scorer's.
+        request: String,
+    },
     /// Ends a job.
     End {
         /// The job.
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use derive_more::Debug;
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderMap, Method};
@@ -50,6 +51,9 @@
     pub attempts: u32,
     /// What it is owed.
     pub claim: Claim,
+    /// Told of each answer of status 500 as it comes.
+    #[debug(skip)]
+    pub failed: Option<&'a dyn Fn()>,
     /// When the caller must have an answer.
     pub deadline: Boot,
 }
@@ -90,12 +94,7 @@
 #[derive(Debug)]
 pub enum Done {
     /// With a server's answer.
-    Answered {
-        /// The answer.
-        answer: Box<Answer>,
-        /// Answers with status 500 so far, this one included.
-        failures: u32,
-    },
+    Answered(Box<Answer>),
     /// No server took it; it has not run.
     NotRun,
     /// It may have run, and no answer came.
@@ -109,7 +108,6 @@
     refusals: u32,
     tried: HashSet<String>,
     last: Option<Answer>,
-    failures: u32,
     unknown: bool,
     hedged: bool,
 }
@@ -117,7 +115,7 @@
 /// Sends a request, to several servers if need be, and gives the best answer.
 pub async fn run(shared: &Shared, sending: &Sending<'_>) -> Done {
     let done = attempts(shared, sending).await;
-    if matches!(done, Done::Answered { .. }) && sending.claim == Claim::Answer {
+    if matches!(done, Done::Answered(_)) && sending.claim == Claim::Answer {
         crash::ran(shared, &sending.parts());
     }
     done
@@ -171,7 +169,7 @@
         };
         let (ended, answer) = judge(shared, sending, &backend, result);
         match (ended, answer) {
-            (None, Some(answer)) => return tally.answered(answer),
+            (None, Some(answer)) => return Done::Answered(Box::new(answer)),
             (Some(ended), answer) => {
                 tally.note(ended, answer);
                 if !calls.is_empty() {
@@ -217,26 +215,13 @@
                 self.runs -= 1;
             }
             Ended::Unknown => self.unknown = true,
-            Ended::Failed => {
-                let is_internal = |answer: &Answer| {
-                    answer.whole.status() == http::StatusCode::INTERNAL_SERVER_ERROR
-                };
-                self.failures += u32::from(answer.as_ref().is_some_and(is_internal));
-                self.last = answer;
-            }
-        }
-    }
-
-    fn answered(&self, answer: Answer) -> Done {
-        Done::Answered {
-            answer: Box::new(answer),
-            failures: self.failures,
+            Ended::Failed => self.last = answer,
         }
     }
 
     fn finish(mut self) -> Done {
         match self.last.take() {
-            Some(answer) => self.answered(answer),
+            Some(answer) => Done::Answered(Box::new(answer)),
             None if self.unknown || self.runs > 0 => Done::Unknown,
             None => Done::NotRun,
         }
@@ -335,6 +320,11 @@
         Ok(answer) if answer.whole.status().is_server_error() => {
             event!("server_failed", "id" => sending.id, "server" => backend.id,
                 "status" => answer.whole.status().as_u16());
+            if answer.whole.status() == http::StatusCode::INTERNAL_SERVER_ERROR
+                && let Some(failed) = sending.failed
+            {
+                failed();
+            }
             (Some(Ended::Failed), Some(answer))
         }
         Ok(answer) => (None, Some(answer)),
