Try a version under whose loads servers crash on one server at a time

Servers saw: an order that crashes each server which takes it came again as soon as the server was back, two at a time and for ever, and took the samples of each with it. It did not even see that the server had started again, and waited 6 s for the old load. Why it works: crashes under loads go to the ledger like those under requests, so a new leader knows them. Versions are owed, so they are not refused: from the third crash on one server tries after 1 s, 2 s, 4 s, until one has loaded it.

--- a/src/drive/waves.rs
+++ b/src/drive/waves.rs
@@ -4,7 +4,8 @@
 //! moment, so servers must change weights while rounds run, and loads slow each other down.
 //! A few load at a time. Servers whose weights are too old for an open round go first;
 //! others only while no item waits that they could take, and if what they run finds room
-//! elsewhere, so that no sample waits for a load.
+//! elsewhere, so that no sample waits for a load. A version under whose loads servers crash
+//! is tried by one server at a time.
 
 /// Servers for each one that may load at the same time: loads slow each other down beyond.
 const SERVERS_PER_LOAD: f64 = 4.5;
@@ -26,6 +27,19 @@
     pub running: usize,
     /// Whether items wait that it could take with its present weights.
     pub wanted: bool,
+    /// What crashes under loads of the named version allow.
+    pub caution: Caution,
+}
+
+/// How carefully a version is loaded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Caution {
+    /// By as many servers as may load at the same time.
+    None,
+    /// By one server at a time: servers crashed as they loaded it.
+    Alone,
+    /// Not yet.
+    Wait,
 }
 
 impl Loadable {
@@ -35,7 +49,7 @@
 
     fn is_due(&self) -> bool {
         let behind = self.version < self.named && !self.loading;
-        behind && (self.is_urgent() || !self.wanted)
+        behind && self.caution != Caution::Wait && (self.is_urgent() || !self.wanted)
     }
 }
 
@@ -60,5 +74,11 @@
     let all = servers.iter().enumerate();
     let mut due: Vec<(usize, &Loadable)> = all.filter(|(_, server)| server.is_due()).collect();
     due.sort_by_key(|(_, server)| (!server.is_urgent(), server.running, server.version));
+    let mut alone = servers
+        .iter()
+        .any(|server| server.loading && server.caution == Caution::Alone);
+    due.retain(|(_, server)| {
+        server.caution == Caution::None || !std::mem::replace(&mut alone, true)
+    });
     due.into_iter().take(room).map(|(at, _)| at).collect()
 }
--- a/src/drive/weights.rs
+++ b/src/drive/weights.rs
@@ -10,14 +10,17 @@
 use tokio::time::sleep;
 
 use super::moving::Board;
-use super::waves::{Loadable, next};
+use super::waves::{Caution, Loadable, next};
 use super::{Driver, Models};
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::edge::{Backend, Dispatch, EngineReport, LoadMode, LoadOrder};
 use crate::instance::events::event;
 use crate::ledger::record::Subject;
+use crate::names::Fingerprint;
 use crate::relay::call::{self, Answer, CallError, Outgoing};
+use crate::relay::crash;
+use crate::util::unix_ms;
 
 /// Time within which a server answers a report call or an order.
 const ANSWER: Duration = Duration::from_millis(900);
@@ -51,6 +54,12 @@
 enum OrderError {
     #[snafu(display("{source}"))]
     Call { source: CallError },
+    /// The server was lost while it loaded.
+    #[snafu(display("lost while loading: {source}"))]
+    Lost { source: CallError },
+    /// The server ended, or started again, while it loaded.
+    #[snafu(display("ended while loading"))]
+    Ended,
     #[snafu(display("status {status}"))]
     Status { status: StatusCode },
     #[snafu(display("malformed report: {detail}"))]
@@ -61,6 +70,24 @@
     Slow,
 }
 
+impl OrderError {
+    /// The same error of the call that ordered the load: the server may have taken it.
+    fn of_order(self) -> Self {
+        match self {
+            Self::Call { source } if !source.is_unsent() => Self::Lost { source },
+            other => other,
+        }
+    }
+
+    /// The same error of a call that came after the order.
+    fn while_loading(self) -> Self {
+        match self {
+            Self::Call { source } if !source.is_busy() => Self::Lost { source },
+            other => other,
+        }
+    }
+}
+
 impl Weights {
     fn key(backend: &Backend) -> (String, u64) {
         (backend.id.clone(), backend.born)
@@ -76,6 +103,13 @@
         seen.max(registered).unwrap_or(1)
     }
 
+    /// Whether a load under way at an earlier start of a server has not been seen to end.
+    fn is_unsettled(&self, backend: &Backend) -> bool {
+        let known = self.known.borrow();
+        let mut starts = known.iter().filter(|((id, _), _)| *id == backend.id);
+        starts.any(|((_, born), known)| *born != backend.born && known.loading)
+    }
+
     /// Whether a server loads weights.
     #[must_use]
     pub fn is_loading(&self, backend: &Backend) -> bool {
@@ -118,7 +152,7 @@
     pub fn retain(&self, is_live: impl Fn(&str, u64) -> bool) {
         self.known
             .borrow_mut()
-            .retain(|(id, born), _| is_live(id, *born));
+            .retain(|(id, born), known| known.loading || is_live(id, *born));
     }
 }
 
@@ -137,14 +171,18 @@
     let named = shared.named.borrow();
     let mut models = Vec::new();
     let mut servers = Vec::new();
+    let wall = unix_ms();
     for backend in &usable {
         let model = driver.model_of(backend);
         let named = named.get(&model).copied().unwrap_or_default();
         servers.push(Loadable {
+            caution: caution(shared, &model, named, wall),
             version: driver.weights.version(backend, &model),
             named,
             oldest: driver.oldest(&model).min(named),
-            loading: driver.weights.is_loading(backend) || driver.weights.is_resting(backend, now),
+            loading: driver.weights.is_loading(backend)
+                || driver.weights.is_unsettled(backend)
+                || driver.weights.is_resting(backend, now),
             running: shared.load.running(&backend.id),
             wanted: waiting.contains(&model),
         });
@@ -167,6 +205,23 @@
     }
 }
 
+/// What repeated loads of a version have in common.
+fn fingerprint(model: &str, version: u64) -> Fingerprint {
+    Fingerprint::of(&["weights", model, &version.to_string()])
+}
+
+fn caution(shared: &Shared, model: &str, version: u64, wall: u64) -> Caution {
+    let crashes = &shared.fold.borrow().crashes;
+    if crashes.is_empty() {
+        return Caution::None;
+    }
+    match crashes.owed_at(&fingerprint(model, version)) {
+        None => Caution::None,
+        Some(at) if at <= wall => Caution::Alone,
+        Some(_) => Caution::Wait,
+    }
+}
+
 async fn load(driver: &Driver, backend: &Backend, model: &str, version: u64) {
     let started = Boot::now();
     let result = order(driver, backend, model, version).await;
@@ -178,8 +233,17 @@
             driver.weights.update(backend, |known| {
                 known.versions.insert(model.to_owned(), reached);
             });
+            crash::forgive(&driver.shared, fingerprint(model, version));
         }
         Err(error) => {
+            let order = fingerprint(model, version);
+            match error {
+                OrderError::Lost { .. } => {
+                    crash::broke(&driver.shared, order, backend, started).await;
+                }
+                OrderError::Ended => crash::crashed(&driver.shared, &order, &backend.life()),
+                _ => {}
+            }
             event!("weights_failed", "server" => backend.id, "model" => model,
                 "version" => version, "took_ms" => took, "error" => error);
             let rest = Boot::now() + RETRY;
@@ -212,14 +276,23 @@
         } else {
             LoadMode::Retain
         };
-        send(shared, backend, model, version, mode, report.orders).await?;
+        let sent = send(shared, backend, model, version, mode, report.orders).await;
+        sent.map_err(OrderError::of_order)?;
     }
     let sent = Boot::now();
     let deadline = sent + LOAD_MAX;
-    sleep(driver.weights.usual().mul_f64(LOOK_SHARE)).await;
+    let look = sent + driver.weights.usual().mul_f64(LOOK_SHARE);
     while Boot::now() < deadline {
         sleep(POLL).await;
-        let report = self::report(shared, backend).await?;
+        let known = shared.fleet.borrow().get(&backend.id).cloned();
+        if known.is_none_or(|known| known.born != backend.born) {
+            return EndedSnafu.fail();
+        }
+        if Boot::now() < look {
+            continue;
+        }
+        let report = self::report(shared, backend).await;
+        let report = report.map_err(OrderError::while_loading)?;
         if !report.busy && has(&report) >= version {
             driver.weights.measure(Boot::now().since(sent));
             return Ok(has(&report));
--- a/src/ledger/crashes.rs
+++ b/src/ledger/crashes.rs
@@ -22,6 +22,11 @@
 const PAUSE: Duration = Duration::from_secs(10);
 /// Growth of that time with each further crash.
 const PAUSE_GROWTH: u32 = 6;
+/// Time from the last crash to the next try of work that is owed: it doubles with each
+/// further crash, up to the longest one.
+const OWED_PAUSE: Duration = Duration::from_secs(1);
+/// The longest such time: half of what a round may take.
+const OWED_PAUSE_MAX: Duration = Duration::from_secs(4);
 /// Crashes of one request that are told apart.
 const LIVES_MAX: usize = 8;
 /// Time for which a request is remembered after it could run again.
@@ -168,6 +173,20 @@
         }
     }
 
+    /// When work that is owed, and under which too many servers crashed, may be tried again, on
+    /// one server.
+    #[must_use]
+    pub fn owed_at(&self, request: &Fingerprint) -> Option<u64> {
+        let suspect = self.suspects.get(request)?;
+        let beyond = suspect.lives.len().checked_sub(REFUSED_FROM)?;
+        let doubled = OWED_PAUSE.saturating_mul(1 << beyond.min(LIVES_MAX));
+        Some(
+            suspect
+                .last
+                .saturating_add(millis(doubled.min(OWED_PAUSE_MAX))),
+        )
+    }
+
     /// The record that keeps a refused request known, if the newest one is old.
     pub fn rewrite(&mut self, request: &Fingerprint, now: u64) -> Option<Crash> {
         let suspect = self.suspects.get_mut(request)?;
--- a/tests/instance/rounds.rs
+++ b/tests/instance/rounds.rs
@@ -5,7 +5,7 @@
 use basillead::drive::assign::{Assignable, assign, quotas};
 use basillead::drive::moves::{Running, Seat as Room, empties, faster};
 use basillead::drive::pace::{Stopwatch, mix};
-use basillead::drive::waves::{Loadable, at_once, next};
+use basillead::drive::waves::{Caution, Loadable, at_once, next};
 use basillead::job::order::queue;
 use basillead::job::place::{Seat, place};
 use basillead::job::{Item, Jobs};
@@ -157,6 +157,7 @@
 
 fn loadable(version: u64, running: usize) -> Loadable {
     Loadable {
+        caution: Caution::None,
         version,
         named: 4,
         oldest: 3,
@@ -196,6 +197,21 @@
     assert!(next(&[loadable(4, 0); 4]).is_empty());
 }
 
+#[test]
+fn waves_with_caution_after_crashes() {
+    let with = |caution| Loadable {
+        caution,
+        ..loadable(2, 0)
+    };
+    assert!(next(&[with(Caution::Wait); 9]).is_empty());
+    assert_eq!(next(&[with(Caution::Alone); 9]), [0], "one at a time");
+    let mut servers = [with(Caution::Alone); 9];
+    servers[8].loading = true;
+    assert!(next(&servers).is_empty(), "one loads already");
+    servers[4].caution = Caution::None;
+    assert_eq!(next(&servers), [4], "another model is not held up");
+}
+
 fn assignable<'a>(id: &'a str, model: Option<&'a str>) -> Assignable<'a> {
     Assignable {
         id,
