Give nothing new to a server that says in its answers that it leaves

The belief is about one start of a server: its entry, a good health check or the return of a lapsed entry change nothing, a new start ends it, and it is bounded. The ledger carries it to the other instances and to processes that start. What runs at the server goes on; a second send of the same attempt, a load after its report and a probe after a crash are left out.

--- a/src/drive/item.rs
+++ b/src/drive/item.rs
@@ -100,9 +100,7 @@
         left: None,
         resume: sample.borrow().last,
     };
-    let limit = shared.connections(&backend.service);
-    let pool = &shared.pool;
-    let sent = call::send(pool, &*shared.dialect, backend, limit, &outgoing, &dispatch);
+    let sent = call::send(shared, backend, &outgoing, &dispatch);
     let silence = if watch.is_loading(backend) {
         SILENCE_LOADING
     } else {
--- a/src/drive/weights.rs
+++ b/src/drive/weights.rs
@@ -68,6 +68,8 @@
     Lease,
     #[snafu(display("not loaded in time"))]
     Slow,
+    #[snafu(display("the server leaves"))]
+    Leaving,
 }
 
 impl OrderError {
@@ -314,6 +316,10 @@
     let Some(holder) = holder.filter(|_| shared.leaving.get().is_none()) else {
         return LeaseSnafu.fail();
     };
+    // Its report may just have said so.
+    if shared.is_leaving(backend) {
+        return LeavingSnafu.fail();
+    }
     let order = LoadOrder {
         model,
         version,
@@ -358,16 +364,6 @@
         server: &backend.id,
         ..Dispatch::default()
     };
-    let limit = shared.connections(&backend.service);
-    let dialect = &*shared.dialect;
-    let call = call::exchange(
-        &shared.pool,
-        dialect,
-        backend,
-        limit,
-        &outgoing,
-        &dispatch,
-        ANSWER,
-    );
+    let call = call::exchange(shared, backend, &outgoing, &dispatch, ANSWER);
     call.await.context(CallSnafu)
 }
--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -187,11 +187,9 @@
             left: Some(left),
             resume: None,
         };
-        let limit = shared.connections(service);
-        let dialect = &*shared.dialect;
         let sent = Boot::now();
         let watch = Sent::new(shared, parts, &backend);
-        let sending = call::send(&shared.pool, dialect, &backend, limit, &outgoing, &dispatch);
+        let sending = call::send(shared, &backend, &outgoing, &dispatch);
         let arriving = match timeout(left, sending).await {
             Ok(Ok(arriving)) => {
                 running.heard(backend.born);
--- a/src/front/listen.rs
+++ b/src/front/listen.rs
@@ -100,6 +100,7 @@
         usize::try_from(shared.pool.opened()).unwrap_or(usize::MAX),
     );
     set("servers_known", shared.fleet.borrow().iter().count());
+    set("servers_leaving", shared.fleet.borrow().leaving());
 }
 
 /// A value of a URI's query.
--- a/src/instance/edge.rs
+++ b/src/instance/edge.rs
@@ -324,6 +324,8 @@
     pub version: Option<u64>,
     /// Time for which the server keeps the idle connection.
     pub keep: Option<Duration>,
+    /// Whether the server says that it leaves.
+    pub leaving: bool,
 }
 
 /// A job as a trainer submitted it.
--- a/src/instance/fleet.rs
+++ b/src/instance/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::contact::Contact;
-use super::edge::{Backend, ServerNews, ServerState};
+use super::edge::{Backend, Life, ServerNews, ServerState};
 use crate::boot::Boot;
 
 /// Time after the store's return within which entries that lapsed meanwhile come back.
@@ -18,10 +18,26 @@
     lapses: Option<Boot>,
 }
 
+/// Time after its entry is gone for which a server is remembered as leaving: entries that lapsed
+/// with the store come back.
+const LEAVING_KEPT: Duration = Duration::from_secs(60);
+/// Servers that are remembered as leaving.
+const LEAVING_MAX: usize = 4096;
+
+/// A server that said that it leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    /// Its start that said so.
+    born: u64,
+    /// Until when that is remembered without its entry.
+    forgotten: Boot,
+}
+
 /// All registered backend servers, by id.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     entries: BTreeMap<String, Entry>,
+    leaving: BTreeMap<String, Leaving>,
 }
 
 impl Fleet {
@@ -39,6 +55,51 @@
         }
     }
 
+    /// Notes that a server said that it leaves; tells whether that is news.
+    ///
+    /// It gets nothing new until it starts again, whatever its entry says.
+    pub fn leave(&mut self, life: &Life, now: Boot) -> bool {
+        let is_known = |known: &Leaving| known.born >= life.born;
+        let is_full = self.leaving.len() >= LEAVING_MAX;
+        if is_full || self.leaving.get(&life.id).is_some_and(is_known) {
+            return false;
+        }
+        let leaving = Leaving {
+            born: life.born,
+            forgotten: now + LEAVING_KEPT,
+        };
+        self.leaving.insert(life.id.clone(), leaving);
+        self.prune_leaving(now);
+        true
+    }
+
+    /// Whether a server said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, backend: &Backend) -> bool {
+        let leaving = self.leaving.get(&backend.id);
+        leaving.is_some_and(|leaving| leaving.born == backend.born)
+    }
+
+    /// Servers that said that they leave and are still listed.
+    #[must_use]
+    pub fn leaving(&self) -> usize {
+        self.iter()
+            .filter(|backend| self.is_leaving(backend))
+            .count()
+    }
+
+    fn prune_leaving(&mut self, now: Boot) {
+        let entries = &self.entries;
+        self.leaving.retain(|id, leaving| {
+            let born = entries.get(id).map(|entry| entry.backend.born);
+            if born.is_some_and(|born| born <= leaving.born) {
+                leaving.forgotten = now + LEAVING_KEPT;
+            }
+            let starts_again = born.is_some_and(|born| born > leaving.born);
+            !starts_again && now < leaving.forgotten
+        });
+    }
+
     fn lapse(&mut self, id: &str, contact: &Contact, now: Boot) {
         let grace = contact.since + RETURN_GRACE;
         match self.entries.get_mut(id) {
@@ -63,6 +124,7 @@
     pub fn prune(&mut self, now: Boot) {
         self.entries
             .retain(|_, entry| entry.lapses.is_none_or(|lapses| now < lapses));
+        self.prune_leaving(now);
     }
 
     /// Servers of a service that take new requests at `now`.
@@ -74,7 +136,8 @@
         let live = move |entry: &&Entry| {
             let backend = &entry.backend;
             let kept = entry.lapses.is_none_or(|lapses| now < lapses);
-            kept && backend.service == service && backend.state == ServerState::Ready
+            let stays = backend.state == ServerState::Ready && !self.is_leaving(backend);
+            kept && backend.service == service && stays
         };
         self.entries
             .values()
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -296,6 +296,11 @@
     let started = Boot::now();
     let mut start = Some(Start::default());
     let apply = |record: Record, offset, received| {
+        if let Record::Leaving(life) = &record
+            && shared.fleet.borrow_mut().leave(life, received)
+        {
+            event!("server_leaving", "server" => life.id, "born" => life.born, "offset" => offset);
+        }
         shared.fold.borrow_mut().apply(record, offset, received);
     };
     let done = |page: &Applied| {
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder as _, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency histograms' buckets, in seconds.
@@ -22,6 +22,8 @@
     pub items: IntCounterVec,
     /// Crashes of servers under requests: seen here, forgiven, requests refused, trials.
     pub crashes: IntCounterVec,
+    /// Starts of servers that said here that they leave.
+    pub leaving: IntCounter,
     /// Present values: jobs open, items running, instances alive, connections opened.
     pub present: IntGaugeVec,
 }
@@ -45,12 +47,17 @@
             "Crashes of backend servers under callers' requests",
         );
         let crashes = IntCounterVec::new(crashes, &["event"])?;
+        let leaving = IntCounter::new(
+            "basillead_servers_leaving_total",
+            "Backend servers that said that they leave",
+        )?;
         let present = Opts::new("basillead_present", "Present values");
         let present = IntGaugeVec::new(present, &["what"])?;
         registry.register(Box::new(requests.clone()))?;
         registry.register(Box::new(latency.clone()))?;
         registry.register(Box::new(items.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
+        registry.register(Box::new(leaving.clone()))?;
         registry.register(Box::new(present.clone()))?;
         Ok(Self {
             registry,
@@ -58,6 +65,7 @@
             latency,
             items,
             crashes,
+            leaving,
             present,
         })
     }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -29,7 +29,7 @@
 use crate::ledger::counters::Counters;
 use crate::ledger::fold::Fold;
 use crate::ledger::members::Members;
-use crate::ledger::record::{Counts, Incarnation, Subject};
+use crate::ledger::record::{Counts, Incarnation, Record, Subject};
 use crate::ledger::writer::Writer;
 use crate::relay::choose::{Candidate, choose};
 use crate::relay::crash::Silences;
@@ -38,6 +38,7 @@
 use contact::Contact;
 use deployment::Deployment;
 use edge::{Backend, Cloud, Dialect, Holder, Store};
+use events::event;
 use fleet::Fleet;
 use interest::Interest;
 use metrics::Metrics;
@@ -197,6 +198,31 @@
         choose(&candidates, rand::random()).map(|at| Rc::clone(usable[at]))
     }
 
+    /// Notes that a server said that it leaves, in its answer to the request of an id, and has
+    /// other instances know.
+    pub fn leave(&self, backend: &Backend, request: Option<&str>) {
+        let life = backend.life();
+        if !self.fleet.borrow_mut().leave(&life, Boot::now()) {
+            return;
+        }
+        let listed = self
+            .fleet
+            .borrow()
+            .get(&backend.id)
+            .map(|known| known.state);
+        event!("server_leaving", "server" => life.id, "born" => life.born,
+            "id" => request.unwrap_or_default(), "listed" => format!("{listed:?}"));
+        self.metrics.leaving.inc();
+        // It is written whether or not anybody waits for it.
+        drop(self.writer.push(&Record::Leaving(life)));
+    }
+
+    /// Whether a server said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self, backend: &Backend) -> bool {
+        self.fleet.borrow().is_leaving(backend)
+    }
+
     /// Servers of a service that may be used.
     #[must_use]
     pub fn count(&self, service: &str) -> usize {
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -90,6 +90,8 @@
                     self.windows.pop_first();
                 }
             }
+            // The registry's fold has it.
+            Record::Leaving(_) => {}
             Record::Crashed(crash) => self.crashes.note(crash),
             Record::Trial { request, wall } => self.crashes.ask(&request, wall, offset),
             Record::Forgiven { request, wall } => self.crashes.forgive(request, wall),
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -150,6 +150,8 @@
         /// Number of the window.
         window: u64,
     },
+    /// A backend server said that it leaves.
+    Leaving(Life),
     /// Backend servers crashed while they ran a request.
     Crashed(Crash),
     /// Asks for a run of a request that is refused; the first one that is due counts.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -9,8 +9,9 @@
 use snafu::{ResultExt as _, Snafu};
 
 use super::choose::Link;
-use super::pool::{Lane, Pool, PoolError};
-use crate::instance::edge::{Backend, Dialect, Dispatch, Reply};
+use super::pool::{Lane, PoolError};
+use crate::instance::Shared;
+use crate::instance::edge::{Backend, Dispatch, Reply};
 
 /// Bytes of an answer that is held whole: some thousand times those of the sheets' answers.
 ///
@@ -182,14 +183,15 @@
 /// [`CallError`]; only [`CallError::Unsent`] and [`CallError::Malformed`] prove that it has
 /// not run.
 pub async fn send(
-    pool: &Pool,
-    dialect: &dyn Dialect,
+    shared: &Shared,
     backend: &Backend,
-    limit: usize,
     outgoing: &Outgoing<'_>,
     dispatch: &Dispatch<'_>,
 ) -> Result<Arriving, CallError> {
-    let mut lane = pool.lane(backend, limit).await.context(UnsentSnafu)?;
+    let dialect = &*shared.dialect;
+    let limit = shared.connections(&backend.service);
+    let lane = shared.pool.lane(backend, limit).await;
+    let mut lane = lane.context(UnsentSnafu)?;
     let uri = outgoing.target.parse::<Uri>().map_err(http::Error::from);
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.uri_mut() = uri.context(MalformedSnafu)?;
@@ -211,6 +213,10 @@
     let (head, body) = answer.into_parts();
     let reply = dialect.reply(&head);
     lane.answered(closes(&head), reply.keep);
+    // A misdirected request was answered by another server than the one that was meant.
+    if reply.leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
+        shared.leave(backend, dispatch.id);
+    }
     if is_foreign(&reply, head.status, dispatch.id) {
         return ForeignSnafu.fail();
     }
@@ -262,16 +268,14 @@
 /// # Errors
 /// [`CallError`].
 pub async fn exchange(
-    pool: &Pool,
-    dialect: &dyn Dialect,
+    shared: &Shared,
     backend: &Backend,
-    connections: usize,
     outgoing: &Outgoing<'_>,
     dispatch: &Dispatch<'_>,
     limit: Duration,
 ) -> Result<Answer, CallError> {
     let call = async {
-        let arriving = send(pool, dialect, backend, connections, outgoing, dispatch).await?;
+        let arriving = send(shared, backend, outgoing, dispatch).await?;
         finish(arriving).await
     };
     tokio::time::timeout(limit, call)
--- a/src/relay/crash.rs
+++ b/src/relay/crash.rs
@@ -163,7 +163,8 @@
 pub async fn broke(shared: &Shared, request: Fingerprint, backend: &Backend, sent: Boot) {
     let fleet = |id: &str| shared.fleet.borrow().get(id).cloned();
     // The end of a server that leaves is no crash.
-    if fleet(&backend.id).is_some_and(|known| known.state == ServerState::Draining) {
+    let is_draining = fleet(&backend.id).is_some_and(|known| known.state == ServerState::Draining);
+    if is_draining || shared.is_leaving(backend) {
         return;
     }
     let limit = shared.connections(&backend.service);
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -238,7 +238,8 @@
     let running = shared.load.enter(&backend.id);
     let first = send(shared, sending, &backend, &running).await;
     let is_stale = first.as_ref().is_err_and(CallError::is_stale);
-    if !is_stale || sending.route.kind != Handling::Idempotent {
+    let may_repeat = is_stale && sending.route.kind == Handling::Idempotent;
+    if !may_repeat || shared.is_leaving(&backend) {
         return (backend, first);
     }
     let second = send(shared, sending, &backend, &running).await;
@@ -269,11 +270,9 @@
         left: Some(sending.deadline.left(Boot::now())),
         resume: None,
     };
-    let limit = shared.connections(&backend.service);
-    let dialect = &*shared.dialect;
     let watched = sending.claim == Claim::Answer;
     let sent = watched.then(|| Sent::new(shared, sending.parts(), backend));
-    let arriving = call::send(&shared.pool, dialect, backend, limit, &outgoing, &dispatch).await;
+    let arriving = call::send(shared, backend, &outgoing, &dispatch).await;
     let result = match arriving {
         Ok(arriving) => call::finish(arriving).await,
         Err(error) => Err(error),
--- a/tests/instance/fleet.rs
+++ b/tests/instance/fleet.rs
@@ -92,6 +92,69 @@
     assert!(fleet.get("s1").is_some(), "what runs there goes on");
 }
 
+fn ready(born: u64) -> Backend {
+    Backend {
+        born,
+        ..backend("s1", ServerState::Ready)
+    }
+}
+
+#[test]
+fn fleet_leaving_until_it_starts_again() {
+    let mut fleet = Fleet::default();
+    let calm = contact(0, 900);
+    fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
+    assert!(fleet.leave(&ready(5).life(), at(1100)));
+    assert!(!fleet.leave(&ready(5).life(), at(1200)), "it is news once");
+    assert_eq!(usable(&fleet, 1200), 0);
+    fleet.apply(news("s1", Some(ready(5))), &calm, at(500_000));
+    fleet.prune(at(500_000));
+    assert_eq!(usable(&fleet, 500_000), 0, "its entry says ready");
+    fleet.apply(news("s1", Some(ready(6))), &calm, at(500_100));
+    fleet.prune(at(500_100));
+    assert_eq!(usable(&fleet, 500_100), 1, "it started again");
+    fleet.leave(&ready(5).life(), at(500_200));
+    assert_eq!(
+        usable(&fleet, 500_200),
+        1,
+        "a late word of its earlier start"
+    );
+}
+
+#[test]
+fn fleet_leaving_before_its_entry() {
+    let mut fleet = Fleet::default();
+    assert!(fleet.leave(&ready(5).life(), at(1000)));
+    fleet.apply(news("s1", Some(ready(5))), &contact(0, 900), at(1100));
+    assert_eq!(usable(&fleet, 1100), 0);
+}
+
+#[test]
+fn fleet_leaving_lapsed_and_back() {
+    let mut fleet = Fleet::default();
+    let calm = contact(0, 900);
+    fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
+    fleet.leave(&ready(5).life(), at(1100));
+    fleet.apply(news("s1", None), &calm, at(2000));
+    fleet.prune(at(2000));
+    fleet.apply(news("s1", Some(ready(5))), &calm, at(9000));
+    fleet.prune(at(9000));
+    assert_eq!(usable(&fleet, 9000), 0, "the same start is back");
+}
+
+#[test]
+fn fleet_leaving_is_bounded() {
+    let mut fleet = Fleet::default();
+    for n in 0..10_000 {
+        fleet.leave(&backend(&format!("s{n}"), ServerState::Ready).life(), at(n));
+    }
+    fleet.prune(at(200_000));
+    assert!(
+        fleet.leave(&ready(5).life(), at(200_000)),
+        "the others are forgotten"
+    );
+}
+
 #[test]
 fn contact_broken_by_silence() {
     let mut contact = Contact::default();
