Count a server's free slots once for all models when samples are placed

Cause: seats are made once for each model in a pass, from the free slots at its beginning, so a model that came later did not see what the ones before had taken. Its placements then took slots off the other models' counts, which wrapped below zero: from then on that server had room for every sample. A release build does not check for it. Why it works: free slots stand once, and all models' seats are set from them.

--- a/src/drive/start.rs
+++ b/src/drive/start.rs
@@ -1,6 +1,6 @@
 //! Starts the items that are due on the servers that have room.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 use super::item::Task;
@@ -13,14 +13,13 @@
 use crate::instance::events::event;
 use crate::instance::payloads;
 use crate::job::order::{Waiting, queue};
-use crate::job::place::{Seat, place};
+use crate::job::place::{Seat, Seating};
 use crate::job::{Content, Job};
 use crate::util::{millis, unix_ms};
 
-/// Servers with room, as the placing of items changes them.
+/// Servers that take items.
 struct Room<'a> {
     servers: Vec<&'a Rc<Backend>>,
-    free: Vec<usize>,
     paces: Vec<f64>,
     models: Vec<String>,
 }
@@ -40,8 +39,8 @@
     let now = Boot::now();
     let wall = unix_ms();
     let fleet = driver.shared.fleet.borrow();
-    let mut known = HashMap::new();
-    let room = room(driver, fleet.usable(name, now), now);
+    let (room, free) = room(driver, fleet.usable(name, now), now);
+    let mut seating = Seating::new(free);
     for waiting in waiting {
         let job = waiting.job;
         let item = &job.record.items[waiting.at];
@@ -72,12 +71,12 @@
             });
             continue;
         }
-        let mut at = seat(driver, &room, &mut known, job, waiting.at, fit.min);
+        let mut at = seat(driver, &room, &mut seating, job, waiting.at, fit.min);
         if at.is_none() && fit.min > job.record.min_version {
             // The room that newer weights had is gone; older ones make it as well.
             driver.keep_old(job, &item.id);
             fit.min = job.record.min_version;
-            at = seat(driver, &room, &mut known, job, waiting.at, fit.min);
+            at = seat(driver, &room, &mut seating, job, waiting.at, fit.min);
         }
         let Some(at) = at else {
             left.insert(job.record.model.clone());
@@ -117,32 +116,34 @@
     (job.record.id.clone(), part.to_owned())
 }
 
-fn room<'a>(driver: &Driver, usable: impl Iterator<Item = &'a Rc<Backend>>, now: Boot) -> Room<'a> {
+fn room<'a>(
+    driver: &Driver,
+    usable: impl Iterator<Item = &'a Rc<Backend>>,
+    now: Boot,
+) -> (Room<'a>, Vec<usize>) {
     let takes = |backend: &&Rc<Backend>| {
         !driver.weights.is_loading(backend) && !driver.rests(&backend.id, now)
     };
     let servers: Vec<&Rc<Backend>> = usable.filter(takes).collect();
-    let free = |backend: &&Rc<Backend>| {
-        backend
-            .slots
-            .saturating_sub(driver.shared.load.running(&backend.id))
-    };
-    Room {
-        free: servers.iter().map(free).collect(),
+    let load = &driver.shared.load;
+    let free = |backend: &&Rc<Backend>| backend.slots.saturating_sub(load.running(&backend.id));
+    let free = servers.iter().map(free).collect();
+    let room = Room {
         paces: driver.paces(&servers, now).0,
         models: servers
             .iter()
             .map(|backend| driver.model_of(backend))
             .collect(),
         servers,
-    }
+    };
+    (room, free)
 }
 
 /// Seats of a model, in the order of the servers.
-fn seats<'a>(driver: &Driver, room: &Room<'a>, model: &str) -> Vec<Seat<'a>> {
+fn seats<'a>(driver: &Driver, room: &Room<'a>, free: &[usize], model: &str) -> Vec<Seat<'a>> {
     let seat = |at: usize| Seat {
         id: &room.servers[at].id,
-        free: room.free[at],
+        free: free[at],
         slots: room.servers[at].slots,
         version: driver.weights.version(room.servers[at], model),
         pace: room.paces[at],
@@ -151,28 +152,21 @@
     (0..room.servers.len()).map(seat).collect()
 }
 
-/// The seat of an item; seats are made once for each model and then kept up to date.
+/// Takes the seat of an item.
 fn seat<'a>(
     driver: &Driver,
     room: &Room<'a>,
-    known: &mut HashMap<String, Vec<Seat<'a>>>,
+    seating: &mut Seating<'a>,
     job: &Job,
     at: usize,
     min: u64,
 ) -> Option<usize> {
     let model = &job.record.model;
-    if !known.contains_key(model) {
-        known.insert(model.clone(), seats(driver, room, model));
-    }
     let homes = driver.homes.borrow();
     let home = homes
         .get(&key(job, &job.record.items[at].group))
         .map(String::as_str);
-    let at = place(known.get(model)?, home, min)?;
-    for seats in known.values_mut() {
-        seats[at].free -= 1;
-    }
-    Some(at)
+    seating.take(model, home, min, |free| seats(driver, room, free, model))
 }
 
 /// Text that an earlier job's run of the same item left, if it fits.
--- a/src/job/place.rs
+++ b/src/job/place.rs
@@ -4,6 +4,8 @@
 //! servers are slow. Items of a group go where its prompt was read already; otherwise the
 //! fastest server with the most room takes the item.
 
+use std::collections::HashMap;
+
 /// What a server that is kept for another model costs more: it may load that model's
 /// weights at any time.
 const FOREIGN: f64 = 2.0;
@@ -40,6 +42,45 @@
     best.map(|(at, _)| at)
 }
 
+/// Seats of the items of all models on the same servers, as they are taken one after the other.
+#[derive(Debug)]
+pub struct Seating<'a> {
+    /// Free slots by server.
+    free: Vec<usize>,
+    models: HashMap<String, Vec<Seat<'a>>>,
+}
+
+impl<'a> Seating<'a> {
+    /// Seats on servers with these free slots.
+    #[must_use]
+    pub fn new(free: Vec<usize>) -> Self {
+        Self {
+            free,
+            models: HashMap::new(),
+        }
+    }
+
+    /// Takes a seat for an item of a model; `seats` makes the model's seats when it is the
+    /// first one, in the order of the servers.
+    pub fn take(
+        &mut self,
+        model: &str,
+        home: Option<&str>,
+        min_version: u64,
+        seats: impl FnOnce(&[usize]) -> Vec<Seat<'a>>,
+    ) -> Option<usize> {
+        if !self.models.contains_key(model) {
+            self.models.insert(model.to_owned(), seats(&self.free));
+        }
+        let at = place(self.models.get(model)?, home, min_version)?;
+        self.free[at] = self.free[at].saturating_sub(1);
+        for seats in self.models.values_mut() {
+            seats[at].free = self.free[at];
+        }
+        Some(at)
+    }
+}
+
 /// Expected time of an item: the server's pace, and more with each slot taken.
 fn cost(seat: &Seat<'_>) -> f64 {
     let taken = seat.slots.saturating_sub(seat.free);
--- a/tests/instance/rounds.rs
+++ b/tests/instance/rounds.rs
@@ -7,7 +7,7 @@
 use basillead::drive::pace::{Stopwatch, mix};
 use basillead::drive::waves::{Caution, Loadable, at_once, next};
 use basillead::job::order::queue;
-use basillead::job::place::{Seat, place};
+use basillead::job::place::{Seat, Seating, place};
 use basillead::job::{Item, Jobs};
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng as _};
@@ -155,6 +155,26 @@
     assert_eq!(place(&[foreign, seat("b", 1, 1.0)], None, 3), Some(1));
 }
 
+/// Replays rounds of two models that come one after the other in one pass.
+#[test]
+fn seating_models_share_their_servers() {
+    let seats = |free: &[usize]| {
+        let one = |free: &usize| Seat {
+            free: *free,
+            ..seat("a", 6, 1.0)
+        };
+        free.iter().map(one).collect::<Vec<_>>()
+    };
+    let mut seating = Seating::new(vec![6]);
+    let mut taken = 0;
+    for model in ["m", "n", "m", "n", "o", "m"] {
+        for _ in 0..10 {
+            taken += usize::from(seating.take(model, None, 0, seats).is_some());
+        }
+    }
+    assert_eq!(taken, 6, "items on a server with six free slots");
+}
+
 fn loadable(version: u64, running: usize) -> Loadable {
     Loadable {
         caution: Caution::None,
