--- a/src/front/forward.rs
+++ b/src/front/forward.rs
@@ -14,7 +14,7 @@
 use super::admit::Admitted;
 use super::handle::Call;
 use super::reply::{Body, come_back, status, whole};
-use super::suspect::leave;
+use super::suspect::allowed_attempts;
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::edge::{Backend, Dispatch};
@@ -58,10 +58,11 @@
 /// Passes a request on and gives the server's whole answer.
 pub async fn plain(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
     let parts = parts(call, admitted);
-    let attempts = match leave(shared, &call.intake.id, &parts, admitted.route.attempts).await {
-        Ok(attempts) => attempts,
-        Err(refusal) => return *refusal,
-    };
+    let attempts =
+        match allowed_attempts(shared, &call.intake.id, &parts, admitted.route.attempts).await {
+            Ok(attempts) => attempts,
+            Err(refusal) => return *refusal,
+        };
     let job = repeat::Sending {
         id: &call.intake.id,
         route: &admitted.route,
@@ -158,7 +159,7 @@
 pub async fn stream(shared: &Rc<Shared>, call: &Call, admitted: &Admitted) -> Response<Body> {
     let parts = parts(call, admitted);
     let id = &call.intake.id;
-    if let Err(refusal) = leave(shared, id, &parts, 1).await {
+    if let Err(refusal) = allowed_attempts(shared, id, &parts, 1).await {
         return *refusal;
     }
     let deadline = deadline(call, admitted);
--- a/src/front/suspect.rs
+++ b/src/front/suspect.rs
@@ -1,4 +1,4 @@
-//! Leave for requests under which backend servers crashed.
+//! Whether requests under which backend servers crashed may run.
 
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 ///
 /// # Errors
 /// The refusal of a request that has crashed too many servers.
-pub async fn leave(
+pub async fn allowed_attempts(
     shared: &Shared,
     id: &str,
     parts: &RequestParts<'_>,
--- a/src/instance/fleet.rs
+++ b/src/instance/fleet.rs
@@ -60,7 +60,7 @@
     /// Notes that a server said that it leaves; tells whether that is news.
     ///
     /// It gets nothing new until it starts again, whatever its entry says.
-    pub fn leave(&mut self, life: &Life, now: Boot) -> bool {
+    pub fn note_leaving(&mut self, life: &Life, now: Boot) -> bool {
         let is_known = |known: &Leaving| known.born >= life.born;
         let is_full = self.leaving.len() >= LEAVING_MAX;
         if is_full || self.leaving.get(&life.id).is_some_and(is_known) {
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -316,7 +316,7 @@
     let mut start = Some(Start::default());
     let apply = |record: Record, offset, received| {
         if let Record::Leaving(life) = &record
-            && shared.fleet.borrow_mut().leave(life, received)
+            && shared.fleet.borrow_mut().note_leaving(life, received)
         {
             event!("server_leaving", "server" => life.id, "born" => life.born, "offset" => offset);
         }
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -228,9 +228,9 @@
 
     /// Notes that a server said that it leaves, in its answer to the request of an id, and has
     /// other instances know.
-    pub fn leave(&self, backend: &Backend, request: Option<&str>) {
+    pub fn note_leaving(&self, backend: &Backend, request: Option<&str>) {
         let life = backend.life();
-        if !self.fleet.borrow_mut().leave(&life, Boot::now()) {
+        if !self.fleet.borrow_mut().note_leaving(&life, Boot::now()) {
             return;
         }
         let listed = self
--- a/src/ledger/crashes.rs
+++ b/src/ledger/crashes.rs
@@ -133,7 +133,7 @@
     }
 
     /// Grants a trial that was asked for at `wall` in the record at `offset`, if one is due.
-    pub fn ask(&mut self, request: &Fingerprint, wall: u64, offset: u64) {
+    pub fn ask_trial(&mut self, request: &Fingerprint, wall: u64, offset: u64) {
         if let Some(suspect) = self.suspects.get_mut(request)
             && suspect.until().is_some_and(|until| until <= wall)
         {
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -93,7 +93,7 @@
             // The registry's fold has it.
             Record::Leaving(_) => {}
             Record::Crashed(crash) => self.crashes.note(crash),
-            Record::Trial { request, wall } => self.crashes.ask(&request, wall, offset),
+            Record::Trial { request, wall } => self.crashes.ask_trial(&request, wall, offset),
             Record::Forgiven { request, wall } => self.crashes.forgive(request, wall),
             Record::Reported { window } => {
                 if let Some((_, reported)) = self.windows.get_mut(&window) {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -215,7 +215,7 @@
     lane.answered(closes(&head), reply.keep);
     // A misdirected request was answered by another server than the one that was meant.
     if reply.leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
-        shared.leave(backend, dispatch.id);
+        shared.note_leaving(backend, dispatch.id);
     }
     if is_foreign(&reply, head.status, dispatch.id) {
         return ForeignSnafu.fail();
--- a/src/relay/repeat.rs
+++ b/src/relay/repeat.rs
@@ -239,7 +239,8 @@
     let first = send(shared, sending, &backend, &running).await;
     let is_stale = first.as_ref().is_err_and(CallError::is_stale);
     let may_repeat = is_stale && sending.route.kind == Handling::Idempotent;
-    if !may_repeat || shared.is_leaving(&backend) {
+    let is_sound = sending.clearance(shared) == Clearance::Clear;
+    if !may_repeat || !is_sound || shared.is_leaving(&backend) {
         return (backend, first);
     }
     let second = send(shared, sending, &backend, &running).await;
--- a/tests/instance/crashes.rs
+++ b/tests/instance/crashes.rs
@@ -192,10 +192,10 @@
     let Clearance::Refused { until } = crashes.clearance(&request(), 0) else {
         panic!("it runs on after three crashes");
     };
-    crashes.ask(&request(), until - 1, 7);
+    crashes.ask_trial(&request(), until - 1, 7);
     assert!(!crashes.is_granted(&request(), 7), "before it was due");
-    crashes.ask(&request(), until, 8);
-    crashes.ask(&request(), until, 9);
+    crashes.ask_trial(&request(), until, 8);
+    crashes.ask_trial(&request(), until, 9);
     assert!(crashes.is_granted(&request(), 8));
     assert!(!crashes.is_granted(&request(), 9), "two at once");
 }
--- a/tests/instance/fleet.rs
+++ b/tests/instance/fleet.rs
@@ -105,8 +105,11 @@
     let mut fleet = Fleet::default();
     let calm = contact(0, 900);
     fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
-    assert!(fleet.leave(&ready(5).life(), at(1100)));
-    assert!(!fleet.leave(&ready(5).life(), at(1200)), "it is news once");
+    assert!(fleet.note_leaving(&ready(5).life(), at(1100)));
+    assert!(
+        !fleet.note_leaving(&ready(5).life(), at(1200)),
+        "it is news once"
+    );
     assert_eq!(usable(&fleet, 1200), 0);
     fleet.apply(news("s1", Some(ready(5))), &calm, at(500_000));
     fleet.prune(at(500_000));
@@ -114,7 +117,7 @@
     fleet.apply(news("s1", Some(ready(6))), &calm, at(500_100));
     fleet.prune(at(500_100));
     assert_eq!(usable(&fleet, 500_100), 1, "it started again");
-    fleet.leave(&ready(5).life(), at(500_200));
+    fleet.note_leaving(&ready(5).life(), at(500_200));
     assert_eq!(
         usable(&fleet, 500_200),
         1,
@@ -125,7 +128,7 @@
 #[test]
 fn fleet_leaving_before_its_entry() {
     let mut fleet = Fleet::default();
-    assert!(fleet.leave(&ready(5).life(), at(1000)));
+    assert!(fleet.note_leaving(&ready(5).life(), at(1000)));
     fleet.apply(news("s1", Some(ready(5))), &contact(0, 900), at(1100));
     assert_eq!(usable(&fleet, 1100), 0);
 }
@@ -135,7 +138,7 @@
     let mut fleet = Fleet::default();
     let calm = contact(0, 900);
     fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
-    fleet.leave(&ready(5).life(), at(1100));
+    fleet.note_leaving(&ready(5).life(), at(1100));
     fleet.apply(news("s1", None), &calm, at(2000));
     fleet.prune(at(2000));
     fleet.apply(news("s1", Some(ready(5))), &calm, at(9000));
@@ -147,11 +150,11 @@
 fn fleet_leaving_is_bounded() {
     let mut fleet = Fleet::default();
     for n in 0..10_000 {
-        fleet.leave(&backend(&format!("s{n}"), ServerState::Ready).life(), at(n));
+        fleet.note_leaving(&backend(&format!("s{n}"), ServerState::Ready).life(), at(n));
     }
     fleet.prune(at(200_000));
     assert!(
-        fleet.leave(&ready(5).life(), at(200_000)),
+        fleet.note_leaving(&ready(5).life(), at(200_000)),
         "the others are forgotten"
     );
 }
