Keep a server's word that it leaves with the time of the request, not with the registry's start

Cause: the belief was kept with the server's start as the registry showed it. The server had started again, said again that it leaves, and the registry showed the new start only afterwards, which ended the belief. Why it works: the word holds for each start that came before the request was sent whose answer carried it; no later start can have answered on that connection.

--- a/src/instance/fleet.rs
+++ b/src/instance/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::contact::Contact;
-use super::edge::{Backend, Life, ServerNews, ServerState};
+use super::edge::{Backend, ServerNews, ServerState};
 use crate::boot::Boot;
 
 /// Time after the store's return within which entries that lapsed meanwhile come back.
@@ -27,8 +27,11 @@
 /// A server that said that it leaves.
 #[derive(Clone, Copy, Debug)]
 struct Leaving {
-    /// Its start that said so.
-    born: u64,
+    /// Unix time in milliseconds at which the last request was sent whose answer said so.
+    ///
+    /// The registry may not show the server's last start yet, so what counts is whether a start
+    /// came before: only such a one has answered on the connection.
+    said: u64,
     /// Until when that is remembered without its entry.
     forgotten: Boot,
 }
@@ -57,22 +60,26 @@
         }
     }
 
-    /// Notes that a server said that it leaves; tells whether that is news.
+    /// Notes that a server said that it leaves, in the answer to a request that was sent at Unix
+    /// time `said` in milliseconds; tells whether that is news.
     ///
     /// It gets nothing new until it starts again, whatever its entry says.
-    pub fn note_leaving(&mut self, life: &Life, now: Boot) -> bool {
-        let is_known = |known: &Leaving| known.born >= life.born;
-        let is_full = self.leaving.len() >= LEAVING_MAX;
-        if is_full || self.leaving.get(&life.id).is_some_and(is_known) {
+    pub fn note_leaving(&mut self, id: &str, said: u64, now: Boot) -> bool {
+        let known = self.leaving.get(id).copied();
+        if known.is_none() && self.leaving.len() >= LEAVING_MAX {
             return false;
         }
         let leaving = Leaving {
-            born: life.born,
+            said: known.map_or(said, |known| known.said.max(said)),
             forgotten: now + LEAVING_KEPT,
         };
-        self.leaving.insert(life.id.clone(), leaving);
+        self.leaving.insert(id.to_owned(), leaving);
         self.prune_leaving(now);
-        true
+        let is_old = |known: Leaving| {
+            let entry = self.entries.get(id);
+            entry.is_none_or(|entry| entry.backend.born <= known.said)
+        };
+        !known.is_some_and(is_old) && self.leaving.contains_key(id)
     }
 
     /// Notes whether the servers of an availability zone get nothing more; tells whether that
@@ -94,7 +101,7 @@
     #[must_use]
     pub fn is_leaving(&self, backend: &Backend) -> bool {
         let leaving = self.leaving.get(&backend.id);
-        leaving.is_some_and(|leaving| leaving.born == backend.born)
+        leaving.is_some_and(|leaving| backend.born <= leaving.said)
     }
 
     /// Servers that said that they leave and are still listed.
@@ -109,10 +116,10 @@
         let entries = &self.entries;
         self.leaving.retain(|id, leaving| {
             let born = entries.get(id).map(|entry| entry.backend.born);
-            if born.is_some_and(|born| born <= leaving.born) {
+            if born.is_some_and(|born| born <= leaving.said) {
                 leaving.forgotten = now + LEAVING_KEPT;
             }
-            let starts_again = born.is_some_and(|born| born > leaving.born);
+            let starts_again = born.is_some_and(|born| born > leaving.said);
             !starts_again && now < leaving.forgotten
         });
     }
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -315,10 +315,13 @@
     let started = Boot::now();
     let mut start = Some(Start::default());
     let apply = |record: Record, offset, received| {
-        if let Record::Leaving(life) = &record
-            && shared.fleet.borrow_mut().note_leaving(life, received)
+        if let Record::Leaving { server, said } = &record
+            && shared
+                .fleet
+                .borrow_mut()
+                .note_leaving(server, *said, received)
         {
-            event!("server_leaving", "server" => life.id, "born" => life.born, "offset" => offset);
+            event!("server_leaving", "server" => server, "said" => said, "offset" => offset);
         }
         shared.fold.borrow_mut().apply(record, offset, received);
     };
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -226,23 +226,25 @@
         });
     }
 
-    /// Notes that a server said that it leaves, in its answer to the request of an id, and has
-    /// other instances know.
-    pub fn note_leaving(&self, backend: &Backend, request: Option<&str>) {
-        let life = backend.life();
-        if !self.fleet.borrow_mut().note_leaving(&life, Boot::now()) {
+    /// Notes that a server said that it leaves, in its answer to the request of an id that was
+    /// sent at Unix time `said` in milliseconds, and has other instances know.
+    pub fn note_leaving(&self, backend: &Backend, request: Option<&str>, said: u64) {
+        let mut fleet = self.fleet.borrow_mut();
+        if !fleet.note_leaving(&backend.id, said, Boot::now()) {
             return;
         }
+        drop(fleet);
         let listed = self
             .fleet
             .borrow()
             .get(&backend.id)
             .map(|known| known.state);
-        event!("server_leaving", "server" => life.id, "born" => life.born,
+        event!("server_leaving", "server" => backend.id, "born" => backend.born,
             "id" => request.unwrap_or_default(), "listed" => format!("{listed:?}"));
         self.metrics.leaving.inc();
         // It is written whether or not anybody waits for it.
-        drop(self.writer.push(&Record::Leaving(life)));
+        let server = backend.id.clone();
+        drop(self.writer.push(&Record::Leaving { server, said }));
     }
 
     /// Whether a server said that it leaves.
--- a/src/ledger/fold.rs
+++ b/src/ledger/fold.rs
@@ -91,7 +91,7 @@
                 }
             }
             // The registry's fold has it.
-            Record::Leaving(_) => {}
+            Record::Leaving { .. } => {}
             Record::Crashed(crash) => self.crashes.note(crash),
             Record::Trial { request, wall } => self.crashes.ask_trial(&request, wall, offset),
             Record::Forgiven { request, wall } => self.crashes.forgive(request, wall),
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -151,7 +151,12 @@
         window: u64,
     },
     /// A backend server said that it leaves.
-    Leaving(Life),
+    Leaving {
+        /// Its id.
+        server: String,
+        /// Unix time in milliseconds at which the request was sent that it answered so.
+        said: u64,
+    },
     /// Backend servers crashed while they ran a request.
     Crashed(Crash),
     /// Asks for a run of a request that is refused; the first one that is due counts.
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -12,6 +12,7 @@
 use super::pool::{Lane, PoolError};
 use crate::instance::Shared;
 use crate::instance::edge::{Backend, Dispatch, Reply};
+use crate::util::unix_ms;
 
 /// Bytes of an answer that is held whole: some thousand times those of the sheets' answers.
 ///
@@ -208,6 +209,7 @@
         return LateSnafu.fail();
     };
     let link = lane.link;
+    let sent = unix_ms();
     let answer = sender.send_request(request).await;
     let answer = answer.context(BrokenSnafu { link })?;
     let (head, body) = answer.into_parts();
@@ -215,7 +217,7 @@
     lane.answered(closes(&head), reply.keep);
     // A misdirected request was answered by another server than the one that was meant.
     if reply.leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
-        shared.note_leaving(backend, dispatch.id);
+        shared.note_leaving(backend, dispatch.id, sent);
     }
     if is_foreign(&reply, head.status, dispatch.id) {
         return ForeignSnafu.fail();
--- a/tests/instance/fleet.rs
+++ b/tests/instance/fleet.rs
@@ -105,30 +105,46 @@
     let mut fleet = Fleet::default();
     let calm = contact(0, 900);
     fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
-    assert!(fleet.note_leaving(&ready(5).life(), at(1100)));
-    assert!(
-        !fleet.note_leaving(&ready(5).life(), at(1200)),
-        "it is news once"
-    );
+    assert!(fleet.note_leaving("s1", 50, at(1100)));
+    assert!(!fleet.note_leaving("s1", 60, at(1200)), "it is news once");
     assert_eq!(usable(&fleet, 1200), 0);
     fleet.apply(news("s1", Some(ready(5))), &calm, at(500_000));
     fleet.prune(at(500_000));
     assert_eq!(usable(&fleet, 500_000), 0, "its entry says ready");
-    fleet.apply(news("s1", Some(ready(6))), &calm, at(500_100));
+    fleet.apply(news("s1", Some(ready(70))), &calm, at(500_100));
     fleet.prune(at(500_100));
     assert_eq!(usable(&fleet, 500_100), 1, "it started again");
-    fleet.note_leaving(&ready(5).life(), at(500_200));
+    fleet.note_leaving("s1", 60, at(500_200));
     assert_eq!(
         usable(&fleet, 500_200),
         1,
         "a late word of its earlier start"
     );
+    assert!(
+        fleet.note_leaving("s1", 80, at(500_300)),
+        "its new start leaves"
+    );
+    assert_eq!(usable(&fleet, 500_300), 0);
+}
+
+/// The registry shows a start that came before the answer only after it.
+#[test]
+fn fleet_leaving_said_by_a_start_not_listed_yet() {
+    let mut fleet = Fleet::default();
+    let calm = contact(0, 900);
+    fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
+    fleet.note_leaving("s1", 30, at(1100));
+    // It starts again at 40, and says at 50 that it leaves.
+    fleet.note_leaving("s1", 50, at(1200));
+    fleet.apply(news("s1", Some(ready(40))), &calm, at(1300));
+    fleet.prune(at(1300));
+    assert_eq!(usable(&fleet, 1300), 0, "it leaves again");
 }
 
 #[test]
 fn fleet_leaving_before_its_entry() {
     let mut fleet = Fleet::default();
-    assert!(fleet.note_leaving(&ready(5).life(), at(1000)));
+    assert!(fleet.note_leaving("s1", 50, at(1000)));
     fleet.apply(news("s1", Some(ready(5))), &contact(0, 900), at(1100));
     assert_eq!(usable(&fleet, 1100), 0);
 }
@@ -138,7 +154,7 @@
     let mut fleet = Fleet::default();
     let calm = contact(0, 900);
     fleet.apply(news("s1", Some(ready(5))), &calm, at(1000));
-    fleet.note_leaving(&ready(5).life(), at(1100));
+    fleet.note_leaving("s1", 50, at(1100));
     fleet.apply(news("s1", None), &calm, at(2000));
     fleet.prune(at(2000));
     fleet.apply(news("s1", Some(ready(5))), &calm, at(9000));
@@ -150,11 +166,11 @@
 fn fleet_leaving_is_bounded() {
     let mut fleet = Fleet::default();
     for n in 0..10_000 {
-        fleet.note_leaving(&backend(&format!("s{n}"), ServerState::Ready).life(), at(n));
+        fleet.note_leaving(&format!("s{n}"), 50, at(n));
     }
     fleet.prune(at(200_000));
     assert!(
-        fleet.note_leaving(&ready(5).life(), at(200_000)),
+        fleet.note_leaving("s1", 50, at(200_000)),
         "the others are forgotten"
     );
 }
