Refuse requests that a stopping instance can't answer before its exit

Cause: admission didn't depend on the stop, and the process ended 0.9 s before the SIGKILL whatever was in flight. Ruled out: a server's connection that breaks first (no `call_failed` before `end active=6`).

Change: gateway::stop decides from the request's deadline, the durations of the route's recent requests and the time of the exit; a request that can't be answered is refused as not run, so that the next attempt goes to another instance. What is in flight near the exit gets its final answer. The process keeps 0.25 s for its exit.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,6 +14,7 @@
 use super::admit::Admitted;
 use super::handle::Call;
 use super::reply::{Body, full_body, retry_later, status};
+use super::stop::Timer;
 use super::suspect::allowed_attempts;
 use crate::boot::Boot;
 use crate::instance::Shared;
@@ -29,7 +30,7 @@
 use crate::util::unix_ms;
 
 /// Returns the time by which the caller must have a response.
-fn deadline(call: &Call, admitted: &Admitted) -> Boot {
+pub(super) fn deadline(call: &Call, admitted: &Admitted) -> Boot {
     let timeout = admitted.route.timeout;
     call.arrived
         + call
@@ -133,6 +134,7 @@
     connection: Option<PooledConnection>,
     watch: Option<StreamWatch>,
     _running: InFlight,
+    _timer: Timer,
 }
 
 impl HttpBody for RelayedStream {
@@ -164,8 +166,13 @@
     }
 }
 
-/// Forwards a request and streams the response as it arrives.
-pub async fn stream(shared: &Rc<Shared>, call: &Call, admitted: &Admitted) -> Response<Body> {
+/// Forwards a request and streams the response as it arrives; `timer` measures it to its end.
+pub async fn stream(
+    shared: &Rc<Shared>,
+    call: &Call,
+    admitted: &Admitted,
+    timer: Timer,
+) -> Response<Body> {
     let parts = parts(call, admitted);
     let id = &call.caller_request.id;
     if let Err(refusal) = allowed_attempts(shared, id, &parts, 1).await {
@@ -247,6 +254,7 @@
                 sent,
             }),
             _running: running,
+            _timer: timer,
         };
         return Response::from_parts(head, Body::Stream(Box::pin(relayed)));
     }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
-use super::admit::{ConfigView, Denied, UNSURE_RETRY_AFTER, admit, tenant};
+use super::admit::{Admitted, ConfigView, Denied, UNSURE_RETRY_AFTER, admit, tenant};
 use super::reply::{Body, retry_later, status};
 use super::{forward, jobs};
 use crate::boot::Boot;
@@ -91,7 +91,22 @@
         arrived,
     };
     let id = call.caller_request.id.clone();
-    let (route, mut response) = answer(&shared, call).await;
+    let unfinished = match call.caller_request.operation {
+        // The request may have run, or may still be carried out.
+        Operation::Forward | Operation::End { .. } | Operation::Unknown => {
+            status(StatusCode::BAD_GATEWAY)
+        }
+        Operation::Results { .. } | Operation::Body { .. } => retry_later(UNSURE_RETRY_AFTER),
+    };
+    let answered = tokio::select! {
+        biased;
+        answered = answer(&shared, call) => Some(answered),
+        () = shared.until_closing() => None,
+    };
+    let (route, mut response) = answered.unwrap_or_else(|| {
+        event!("stopped", "id" => id);
+        ("none".to_owned(), unfinished)
+    });
     let took = Boot::now().since(arrived);
     let code = response.status();
     shared.metrics.observe_request(&route, code.as_str(), took);
@@ -142,16 +157,31 @@
         Err(denied) => return ("none".to_owned(), refuse(&call, denied)),
     };
     let name = admitted.route.name.clone();
+    if !may_finish(shared, &call, &admitted) {
+        event!("stop_refused", "id" => call.caller_request.id, "route" => name);
+        return (name, retry_later(UNSURE_RETRY_AFTER));
+    }
+    let timer = shared.durations.start(&admitted.route, call.arrived);
     let response = match admitted.route.kind {
         RequestKind::Rollout => jobs::submit(shared, &call, &admitted).await,
         RequestKind::Idempotent | RequestKind::Once => {
             forward::plain(shared, &call, &admitted).await
         }
-        RequestKind::Stream { .. } => forward::stream(shared, &call, &admitted).await,
+        RequestKind::Stream { .. } => forward::stream(shared, &call, &admitted, timer).await,
     };
     (name, response)
 }
 
+/// Whether a request can be answered before the process exits.
+fn may_finish(shared: &Shared, call: &Call, admitted: &Admitted) -> bool {
+    let Some(schedule) = shared.stop_schedule() else {
+        return true;
+    };
+    let now = Boot::now();
+    let longest = shared.durations.longest(&admitted.route.name, now);
+    !shared.is_closing() && schedule.accepts(forward::deadline(call, admitted), longest, now)
+}
+
 /// Handles a call on an existing job; none if the request is no such call or a route matches it.
 async fn job_response(
     shared: &Rc<Shared>,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,4 +6,5 @@
 pub mod jobs;
 pub mod listen;
 pub mod reply;
+pub mod stop;
 pub mod suspect;
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -24,9 +24,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::boot::Boot;
+use crate::gateway::stop::{Durations, StopSchedule};
 use crate::ledger::counters::Counters;
 use crate::ledger::instances::InstanceTable;
 use crate::ledger::record::{Counts, Incarnation, Record, Subject};
@@ -127,6 +128,10 @@
     pub renewals: RefCell<BTreeMap<u64, Boot>>,
     /// When the process began to shut down, if it did.
     pub leaving: Cell<Option<Boot>>,
+    /// Whether the process is about to exit: requests in flight get their final answers.
+    pub closing: watch::Sender<bool>,
+    /// Durations of callers' requests, by route.
+    pub durations: Durations,
     /// Number of callers' requests in flight.
     pub in_flight: Cell<usize>,
     /// Prometheus metrics.
@@ -160,6 +165,26 @@
         is_configured && has_ledger && self.is_fresh(now) && self.leaving.get().is_none()
     }
 
+    /// When the process stops answering and exits, if it shuts down.
+    #[must_use]
+    pub fn stop_schedule(&self) -> Option<StopSchedule> {
+        let grace = self.settings.bounds.grace.saturating_sub(run::EXIT_MARGIN);
+        let leaving = self.leaving.get()?;
+        Some(StopSchedule::new(leaving + grace))
+    }
+
+    /// Whether the process is about to exit.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        *self.closing.borrow()
+    }
+
+    /// Waits until the process is about to exit.
+    pub async fn until_closing(&self) {
+        // The sender lives as long as `self`.
+        let _ = self.closing.subscribe().wait_for(|closing| *closing).await;
+    }
+
     /// Whether this process holds a lease according to the log, even past its deadline.
     #[must_use]
     pub fn holds_lease(&self, subject: &Subject) -> bool {
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -8,7 +8,7 @@
 use snafu::{ResultExt as _, Snafu};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -22,6 +22,7 @@
 use crate::boot::Boot;
 use crate::duty::{scale, usage};
 use crate::gateway::listen;
+use crate::gateway::stop::Durations;
 use crate::ledger::record::Incarnation;
 use crate::ledger::state::LedgerState;
 use crate::ledger::writer::Writer;
@@ -32,7 +33,7 @@
 use crate::util::{random_id, stop_signal, unix_ms};
 
 /// Part of the grace period that is reserved for the process to exit.
-pub const EXIT_MARGIN: Duration = Duration::from_millis(900);
+pub const EXIT_MARGIN: Duration = Duration::from_millis(250);
 /// Callers may use an address answer for this many times its TTL.
 const TTL_FACTOR: u32 = 3;
 /// Poll interval for requests and appends that are still in flight during shutdown.
@@ -176,6 +177,8 @@
         usage: RefCell::default(),
         renewals: RefCell::default(),
         leaving: Cell::new(None),
+        closing: watch::Sender::new(false),
+        durations: Durations::default(),
         in_flight: Cell::new(0),
         metrics: Metrics::new().context(MetricsSnafu)?,
     }))
@@ -227,6 +230,10 @@
             .heartbeats
             .last_read
             .unwrap_or_default();
+        if let Some(deployment) = shared.deployment() {
+            let exists = |name: &str| deployment.routes.iter().any(|route| route.name == name);
+            shared.durations.retain(exists);
+        }
         let mut instance_table = shared.instance_table.borrow_mut();
         instance_table
             .known
@@ -234,7 +241,8 @@
     }
 }
 
-/// Keeps serving while callers may still hold this address, then returns for the process to exit.
+/// Keeps serving while callers may still hold this address, then answers what is left and returns
+/// for the process to exit.
 async fn drain(shared: &Rc<Shared>) {
     let now = Boot::now();
     shared.leaving.set(Some(now));
@@ -242,22 +250,32 @@
     // Wakes the scheduler, which hands over its jobs and releases the leases.
     shared.state_changed.notify_waiters();
     shared.heartbeat_due.notify_one();
-    let exit_by = now + shared.settings.bounds.grace.saturating_sub(EXIT_MARGIN);
-    let address_expiry = (now + directory::TTL * TTL_FACTOR).min(exit_by);
+    let Some(schedule) = shared.stop_schedule() else {
+        return;
+    };
+    let address_expiry = now + directory::TTL * TTL_FACTOR;
+    let may_close = |now| now >= schedule.answer_by || (now >= address_expiry && is_idle(shared));
+    while !may_close(Boot::now()) {
+        sleep(DRAIN_POLL).await;
+    }
+    event!("closing", "active" => shared.in_flight.get());
+    shared.closing.send_replace(true);
     loop {
         sleep(DRAIN_POLL).await;
-        let now = Boot::now();
-        let writers = [
-            &shared.writer,
-            &shared.job_writer,
-            &shared.payloads.writer,
-            &shared.counter_writer,
-        ];
-        let written = writers.into_iter().all(Writer::is_idle);
-        let idle = shared.in_flight.get() == 0 && written;
-        if now >= exit_by || (now >= address_expiry && idle) {
+        if is_idle(shared) || Boot::now() >= schedule.exit_by {
             break;
         }
     }
     event!("end", "active" => shared.in_flight.get());
 }
+
+/// Whether no request is in flight and every record is written.
+fn is_idle(shared: &Shared) -> bool {
+    let writers = [
+        &shared.writer,
+        &shared.job_writer,
+        &shared.payloads.writer,
+        &shared.counter_writer,
+    ];
+    shared.in_flight.get() == 0 && writers.into_iter().all(Writer::is_idle)
+}
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod rounds;
 mod sample;
+mod stop;
 mod stragglers;
 mod traffic;
 mod writer;
