Count a stream as in flight until its last byte when an instance stops

Cause: a request was counted as in flight until the head of its answer only, so the stop saw an idle process. Ruled out: an exit at the end of the grace period (it came 2 s earlier), servers that break off.

Change: the guard that counts a request is part of its answer's body. At the exit callers' connections are shut down gracefully, so that bytes that are buffered are sent first.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 
+use super::active::{ActiveBody, ActiveRequest};
 use super::admit::{Admitted, ConfigView, Denied, UNSURE_RETRY_AFTER, admit, tenant};
 use super::reply::{Body, retry_later, status};
 use super::{forward, jobs};
@@ -25,24 +26,6 @@
 /// Share of the time allowed to apply a configuration, up to which a read counts as current.
 const CURRENT_AGE_SHARE: f64 = 0.75;
 
-/// Counts a request as active until the guard is dropped.
-struct ActiveRequest(Rc<Shared>);
-
-impl ActiveRequest {
-    fn enter(shared: &Rc<Shared>) -> Self {
-        shared.in_flight.set(shared.in_flight.get() + 1);
-        Self(Rc::clone(shared))
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0
-            .in_flight
-            .set(self.0.in_flight.get().saturating_sub(1));
-    }
-}
-
 /// A caller's request whose body has been read.
 #[derive(Debug)]
 pub struct Call {
@@ -63,8 +46,14 @@
 pub async fn handle(
     shared: Rc<Shared>,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
-    let _active = ActiveRequest::enter(&shared);
+) -> Result<Response<ActiveBody>, Infallible> {
+    let active = ActiveRequest::enter(&shared);
+    let response = respond(&shared, request).await;
+    Ok(response.map(|body| ActiveBody::new(body, active)))
+}
+
+/// Reads a request and returns the response.
+async fn respond(shared: &Rc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = Boot::now();
     let (head, body) = request.into_parts();
     let caller_request = shared.codec.decode_request(&head);
@@ -81,7 +70,7 @@
             } else {
                 StatusCode::BAD_REQUEST
             };
-            return Ok(with_close(status(code)));
+            return with_close(status(code));
         }
     };
     let call = Call {
@@ -100,7 +89,7 @@
     };
     let answered = tokio::select! {
         biased;
-        answered = answer(&shared, call) => Some(answered),
+        answered = answer(shared, call) => Some(answered),
         () = shared.until_closing() => None,
     };
     let (route, mut response) = answered.unwrap_or_else(|| {
@@ -117,7 +106,7 @@
     if shared.leaving.get().is_some() {
         response = with_close(response);
     }
-    Ok(response)
+    response
 }
 
 /// Tells the caller to close the connection after the response.
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,12 +1,14 @@
 //! HTTP listeners for callers' requests, readiness, the address directory and metrics.
 
 use std::convert::Infallible;
+use std::future::pending;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body as HttpBody, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,6 +16,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::active::{ActiveBody, OpenConnection};
 use super::handle::handle;
 use super::reply::{Body, full_body, json, status};
 use crate::boot::Boot;
@@ -39,7 +42,7 @@
     socket.listen(BACKLOG)
 }
 
-/// Serves callers' requests; never returns.
+/// Serves callers' requests until the process is about to exit.
 pub async fn serve_requests(shared: Rc<Shared>, listener: TcpListener) {
     serve_callers(listener, Rc::clone(&shared), move |request| {
         handle(Rc::clone(&shared), request)
@@ -115,39 +118,47 @@
     pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
-/// Serves connections with the idle timeout of the configuration.
+/// Serves callers' connections until the process is about to exit; then each is closed once its
+/// answer is sent.
 async fn serve_callers<F, Fut>(listener: TcpListener, shared: Rc<Shared>, answer: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
-    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+    Fut: Future<Output = Result<Response<ActiveBody>, Infallible>> + 'static,
 {
-    let idle = move || {
-        shared
+    loop {
+        let stream = tokio::select! {
+            stream = accept(&listener) => stream,
+            () = shared.until_closing() => return,
+        };
+        let idle = shared
             .deployment()
-            .map_or(IDLE_DEFAULT, |known| known.limits.idle_timeout)
-    };
-    serve(listener, idle, answer).await;
+            .map_or(IDLE_DEFAULT, |known| known.limits.idle_timeout);
+        let (shared, answer) = (Rc::clone(&shared), answer.clone());
+        let open = OpenConnection::enter(&shared);
+        spawn_local(async move {
+            connection(stream, idle, answer, shared.until_closing()).await;
+            drop(open);
+        });
+    }
 }
 
-/// Serves connections with the default idle timeout.
+/// Serves connections with the default idle timeout; never returns.
 async fn serve_auxiliary<F, Fut>(listener: TcpListener, answer: F)
 where
     F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
     Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
 {
-    serve(listener, || IDLE_DEFAULT, answer).await;
+    loop {
+        let stream = accept(&listener).await;
+        spawn_local(connection(stream, IDLE_DEFAULT, answer.clone(), pending()));
+    }
 }
 
-async fn serve<F, Fut>(listener: TcpListener, idle: impl Fn() -> Duration, answer: F)
-where
-    F: Fn(Request<Incoming>) -> Fut + Clone + 'static,
-    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
-{
+/// Accepts the next connection.
+async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(connection(stream, idle(), answer.clone()));
-            }
+            Ok((stream, _)) => return stream,
             Err(error) => {
                 event!("accept_failed", "error" => error);
                 sleep(ACCEPT_PAUSE).await;
@@ -156,10 +167,17 @@
     }
 }
 
-async fn connection<F, Fut>(stream: TcpStream, idle: Duration, answer: F)
-where
+/// Serves a connection; once `closing` completes, no further request is read from it.
+async fn connection<F, Fut, B>(
+    stream: TcpStream,
+    idle: Duration,
+    answer: F,
+    closing: impl Future<Output = ()>,
+) where
     F: Fn(Request<Incoming>) -> Fut + 'static,
-    Fut: Future<Output = Result<Response<Body>, Infallible>> + 'static,
+    Fut: Future<Output = Result<Response<B>, Infallible>> + 'static,
+    B: HttpBody + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     // A failure only delays small packets.
     let _ = stream.set_nodelay(true);
@@ -167,6 +185,13 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .serve_connection(TokioIo::new(stream), service_fn(answer));
+    let mut served = pin!(served);
     // An error means that the caller closed the connection; each request's outcome is logged.
-    let _ = served.await;
+    tokio::select! {
+        _ = served.as_mut() => {}
+        () = closing => {
+            served.as_mut().graceful_shutdown();
+            let _ = served.await;
+        }
+    }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Caller-facing side of an instance: listeners, admission, forwarding and job calls.
 
+pub mod active;
 pub mod admit;
 pub mod forward;
 pub mod handle;
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -132,8 +132,10 @@
     pub closing: watch::Sender<bool>,
     /// Durations of callers' requests, by route.
     pub durations: Durations,
-    /// Number of callers' requests in flight.
+    /// Number of callers' requests in flight, each until its answer is sent.
     pub in_flight: Cell<usize>,
+    /// Number of open connections of callers.
+    pub connections_open: Cell<usize>,
     /// Prometheus metrics.
     pub metrics: Metrics,
 }
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -38,6 +38,8 @@
 const TTL_FACTOR: u32 = 3;
 /// Poll interval for requests and appends that are still in flight during shutdown.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time after the last answer in which its last bytes are sent before the connections are closed.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two removals of old jobs, crashes and instances from memory.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time without a heartbeat after which an instance is forgotten.
@@ -180,6 +182,7 @@
         closing: watch::Sender::new(false),
         durations: Durations::default(),
         in_flight: Cell::new(0),
+        connections_open: Cell::new(0),
         metrics: Metrics::new().context(MetricsSnafu)?,
     }))
 }
@@ -260,16 +263,22 @@
     }
     event!("closing", "active" => shared.in_flight.get());
     shared.closing.send_replace(true);
+    let mut flush_by = Boot::now() + FLUSH_TIMEOUT;
     loop {
         sleep(DRAIN_POLL).await;
-        if is_idle(shared) || Boot::now() >= schedule.exit_by {
+        let now = Boot::now();
+        if !is_idle(shared) {
+            flush_by = now + FLUSH_TIMEOUT;
+        }
+        let flushed = shared.connections_open.get() == 0 || now >= flush_by;
+        if now >= schedule.exit_by || (is_idle(shared) && flushed) {
             break;
         }
     }
     event!("end", "active" => shared.in_flight.get());
 }
 
-/// Whether no request is in flight and every record is written.
+/// Whether every answer is sent and every record is written.
 fn is_idle(shared: &Shared) -> bool {
     let writers = [
         &shared.writer,
