End streams at the deadline of their request

Cause: the deadline bounded the wait for the head of the server's answer; the body was handed on without a bound. Ruled out: a deadline that is checked only when bytes arrive (a stream that ran on wasn't ended either).

Change: a stream carries the deadline of its request and is broken off 0.1 s after it, so that it can't look complete.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -4,16 +4,18 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Response, StatusCode};
 use hyper::body::{Body as HttpBody, Frame, Incoming};
+use snafu::ResultExt as _;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{Sleep, sleep, timeout};
 
 use super::admit::Admitted;
 use super::handle::Call;
-use super::reply::{Body, full_body, retry_later, status};
+use super::reply::{Body, BrokenSnafu, StreamError, TimeoutSnafu, full_body, retry_later, status};
 use super::stop::Timer;
 use super::suspect::allowed_attempts;
 use crate::boot::Boot;
@@ -59,11 +61,13 @@
 /// Forwards a request and returns the server's complete response.
 pub async fn plain(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
     let parts = parts(call, admitted);
+    let deadline = deadline(call, admitted);
     let attempts = match allowed_attempts(
         shared,
         &call.caller_request.id,
         &parts,
         admitted.route.attempts,
+        deadline,
     )
     .await
     {
@@ -81,7 +85,7 @@
         attempts,
         entitlement: Entitlement::Response,
         failed: None,
-        deadline: deadline(call, admitted),
+        deadline,
     };
     let began = unix_ms();
     let outcome = retry::run(shared, &relay_request).await;
@@ -126,11 +130,19 @@
     }
 }
 
+/// Time after a stream's deadline in which its last bytes arrive: the server got the deadline as
+/// time left and stops by itself, a little later than this instance would.
+const STREAM_END_MARGIN: Duration = Duration::from_millis(100);
+
 /// A response body that is streamed to the caller.
 ///
 /// Dropping an unfinished stream closes the connection to the server.
 struct RelayedStream {
+    /// Request id.
+    id: String,
     body: Incoming,
+    /// Completes when the stream is ended, whether or not it is complete.
+    deadline: Pin<Box<Sleep>>,
     connection: Option<PooledConnection>,
     watch: Option<StreamWatch>,
     _running: InFlight,
@@ -139,12 +151,16 @@
 
 impl HttpBody for RelayedStream {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = StreamError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            event!("stream_timeout", "id" => self.id);
+            return Poll::Ready(Some(TimeoutSnafu.fail()));
+        }
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
             Poll::Ready(None) => {
@@ -162,7 +178,7 @@
             }
             Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
-        polled
+        polled.map(|frame| frame.map(|frame| frame.context(BrokenSnafu)))
     }
 }
 
@@ -175,10 +191,10 @@
 ) -> Response<Body> {
     let parts = parts(call, admitted);
     let id = &call.caller_request.id;
-    if let Err(refusal) = allowed_attempts(shared, id, &parts, 1).await {
+    let deadline = deadline(call, admitted);
+    if let Err(refusal) = allowed_attempts(shared, id, &parts, 1, deadline).await {
         return *refusal;
     }
-    let deadline = deadline(call, admitted);
     let outgoing = OutgoingRequest {
         method: call.head.method.clone(),
         target: path_and_query(call),
@@ -244,8 +260,11 @@
             ..
         } = pending;
         call::strip_hop_headers(&mut head.headers);
+        let end_in = deadline.left(Boot::now()) + STREAM_END_MARGIN;
         let relayed = RelayedStream {
+            id: id.clone(),
             body,
+            deadline: Box::pin(sleep(end_in)),
             connection: Some(connection),
             watch: Some(StreamWatch {
                 shared: Rc::clone(shared),
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -7,6 +7,7 @@
 use tokio::time::timeout;
 
 use super::admit::Admitted;
+use super::forward;
 use super::handle::Call;
 use super::reply::{Body, full_body, json, retry_later, status};
 use crate::boot::Boot;
@@ -62,11 +63,7 @@
     let model = submission.model.clone();
     let min_version = submission.min_version;
     let target = submission.group_target;
-    let caller_timeout = caller_request
-        .caller_timeout
-        .unwrap_or(APPEND_TIMEOUT)
-        .min(APPEND_TIMEOUT);
-    let deadline = Boot::now() + caller_timeout;
+    let deadline = forward::deadline(call, admitted).min(Boot::now() + APPEND_TIMEOUT);
     let stored = shared
         .payloads
         .write_contents(submission.contents, deadline);
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -9,6 +9,22 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use snafu::Snafu;
+
+/// Why a response body that is forwarded ends early.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum StreamError {
+    /// The server's response broke off.
+    #[snafu(display("the server's response broke off: {source}"))]
+    Broken {
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// The response was not complete at the request's deadline.
+    #[snafu(display("the response was not complete at the deadline"))]
+    Timeout,
+}
 
 /// Body of a response to a caller.
 #[derive(Debug)]
@@ -16,17 +32,17 @@
     /// Buffered in memory.
     Whole(Full<Bytes>),
     /// Forwarded as it arrives.
-    Stream(#[debug(skip)] Pin<Box<dyn HttpBody<Data = Bytes, Error = hyper::Error>>>),
+    Stream(#[debug(skip)] Pin<Box<dyn HttpBody<Data = Bytes, Error = StreamError>>>),
 }
 
 impl HttpBody for Body {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = StreamError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         match self.get_mut() {
             Self::Whole(body) => {
                 let polled = Pin::new(body).poll_frame(cx);
--- a/src/gateway/suspect.rs
+++ b/src/gateway/suspect.rs
@@ -19,7 +19,8 @@
 /// Time limit on granting a trial run: an append to the ledger and a read.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(1200);
 
-/// Returns how many servers a request may run on: `attempts`, or one in a trial run.
+/// Returns how many servers a request may run on: `attempts`, or one in a trial run, which must be
+/// granted by `deadline`.
 ///
 /// # Errors
 /// The response that refuses a request whose runs crashed too many servers.
@@ -28,6 +29,7 @@
     id: &str,
     parts: &RequestParts<'_>,
     attempts: u32,
+    deadline: Boot,
 ) -> Result<u32, Box<Response<Body>>> {
     if shared.ledger.borrow().crashes.is_empty() {
         return Ok(attempts.max(1));
@@ -42,7 +44,7 @@
         Clearance::Clear | Clearance::Suspect => Ok(attempts.max(1)),
         Clearance::Refused { until } => Err(refuse(shared, id, &request, until)),
         Clearance::Trial => {
-            let granted = request_trial(shared, &request).await;
+            let granted = request_trial(shared, &request, deadline).await;
             event!("crash_trial", "id" => id, "request" => request, "granted" => granted);
             if granted {
                 shared.metrics.count_crash("trial");
@@ -81,9 +83,9 @@
 }
 
 /// Requests the trial run that a refused request gets after its cooldown; returns whether this
-/// instance was granted it.
-async fn request_trial(shared: &Shared, request: &Fingerprint) -> bool {
-    let deadline = Boot::now() + TRIAL_TIMEOUT;
+/// instance was granted it by `deadline`.
+async fn request_trial(shared: &Shared, request: &Fingerprint, deadline: Boot) -> bool {
+    let deadline = deadline.min(Boot::now() + TRIAL_TIMEOUT);
     let record = Record::Trial {
         request: request.clone(),
         wall: unix_ms(),
