Ask right before each send whether the server still takes requests

Cause: servers were checked when they were chosen and used after a wait: a second send, a new connection, a report before a load order. Only the server's own announcement was asked again. Ruled out: a late registry (its change was logged two seconds before), a choice that takes draining servers (no new request went there).

Change: call::send asks Fleet::takes_requests before and after the wait for a connection, for every kind of request; load orders ask it after the report. If the server is unusable, nothing is sent and the caller chooses again.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -23,7 +23,7 @@
 use crate::instance::events::event;
 use crate::instance::interfaces::{Backend, UpstreamHeaders};
 use crate::names::Fingerprint;
-use crate::relay::call::{self, CallError, FullResponse, OutgoingRequest};
+use crate::relay::call::{self, FullResponse, OutgoingRequest};
 use crate::relay::choose::FULL_RETRY_AFTER;
 use crate::relay::crash::{self, RequestParts, SendGuard};
 use crate::relay::load::InFlight;
@@ -229,7 +229,7 @@
                 guard.disarm();
                 pending
             }
-            Ok(Err(error @ (CallError::Unsent { .. } | CallError::Malformed { .. }))) => {
+            Ok(Err(error)) if error.is_unsent() => {
                 event!("call_failed", "id" => call.caller_request.id, "server" => backend.id,
                     "error" => error);
                 guard.disarm();
--- a/src/instance/fleet.rs
+++ b/src/instance/fleet.rs
@@ -163,19 +163,27 @@
         service: &'a str,
         now: Boot,
     ) -> impl Iterator<Item = &'a Rc<Backend>> {
-        let is_usable = move |entry: &&Entry| {
-            let backend = &entry.backend;
-            let is_kept = entry.usable_until.is_none_or(|until| now < until);
-            let is_staying = backend.state == ServerState::Ready && !self.is_leaving(backend);
-            let is_open = !self.evacuated.contains(&backend.zone);
-            is_kept && backend.service == service && is_staying && is_open
-        };
         self.entries
             .values()
-            .filter(is_usable)
+            .filter(move |entry| entry.backend.service == service && self.is_usable(entry, now))
             .map(|entry| &entry.backend)
     }
 
+    /// Whether this run of a server takes new requests at `now`.
+    #[must_use]
+    pub fn takes_requests(&self, backend: &Backend, now: Boot) -> bool {
+        let entry = self.entries.get(&backend.id);
+        entry.is_some_and(|entry| entry.backend.born == backend.born && self.is_usable(entry, now))
+    }
+
+    fn is_usable(&self, entry: &Entry, now: Boot) -> bool {
+        let backend = &entry.backend;
+        let is_kept = entry.usable_until.is_none_or(|until| now < until);
+        let is_staying = backend.state == ServerState::Ready && !self.is_leaving(backend);
+        let is_open = !self.evacuated.contains(&backend.zone);
+        is_kept && is_staying && is_open
+    }
+
     /// The server with this id.
     #[must_use]
     pub fn get(&self, id: &str) -> Option<&Rc<Backend>> {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -287,6 +287,14 @@
         self.fleet.borrow().is_leaving(backend)
     }
 
+    /// Whether this run of the server takes new requests.
+    ///
+    /// The answer may differ from the one at the time when the server was chosen.
+    #[must_use]
+    pub fn takes_requests(&self, backend: &Backend) -> bool {
+        self.fleet.borrow().takes_requests(backend, Boot::now())
+    }
+
     /// Number of servers of a service that take new requests.
     #[must_use]
     pub fn usable_count(&self, service: &str) -> usize {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use snafu::{ResultExt as _, Snafu};
+use snafu::{ResultExt as _, Snafu, ensure};
 
 use super::choose::Link;
 use super::pool::{PoolError, PooledConnection};
@@ -28,6 +28,9 @@
         /// The cause.
         source: PoolError,
     },
+    /// The server takes no new requests any more, so nothing was sent.
+    #[snafu(display("the server takes no new requests any more"))]
+    Unusable,
     /// The request could not be built, so nothing was sent.
     #[snafu(display("malformed path or query in the request: {source}"))]
     Malformed {
@@ -60,7 +63,10 @@
     /// Whether the request was certainly not sent.
     #[must_use]
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Unsent { .. } | Self::Malformed { .. })
+        matches!(
+            self,
+            Self::Unsent { .. } | Self::Unusable | Self::Malformed { .. }
+        )
     }
 
     /// Whether a reused connection broke; the server may have closed it before the request.
@@ -83,7 +89,11 @@
             Self::Body { source } => source
                 .downcast_ref::<hyper::Error>()
                 .is_some_and(|source| !source.is_parse()),
-            Self::Unsent { .. } | Self::Malformed { .. } | Self::WrongId | Self::Timeout => false,
+            Self::Unsent { .. }
+            | Self::Unusable
+            | Self::Malformed { .. }
+            | Self::WrongId
+            | Self::Timeout => false,
         }
     }
 
@@ -181,18 +191,38 @@
 /// Sends a request and waits for the response head.
 ///
 /// # Errors
-/// [`CallError`]; only [`CallError::Unsent`] and [`CallError::Malformed`] prove that the
-/// request has not run.
+/// [`CallError`]; see [`CallError::is_unsent`].
 pub async fn send(
     shared: &Shared,
     backend: &Backend,
     outgoing: &OutgoingRequest<'_>,
     added_headers: &UpstreamHeaders<'_>,
 ) -> Result<PendingResponse, CallError> {
-    let codec = &*shared.codec;
+    ensure!(shared.takes_requests(backend), UnusableSnafu);
+    let connection = checkout(shared, backend).await?;
+    // The server may have begun to drain while the connection was opened.
+    if !shared.takes_requests(backend) {
+        connection.return_to_pool();
+        return UnusableSnafu.fail();
+    }
+    send_on(connection, shared, backend, outgoing, added_headers).await
+}
+
+async fn checkout(shared: &Shared, backend: &Backend) -> Result<PooledConnection, CallError> {
     let limit = shared.connections(&backend.service);
     let connection = shared.pool.checkout(backend, limit).await;
-    let mut connection = connection.context(UnsentSnafu)?;
+    connection.context(UnsentSnafu)
+}
+
+/// Sends a request on a connection, and waits for the response head.
+async fn send_on(
+    mut connection: PooledConnection,
+    shared: &Shared,
+    backend: &Backend,
+    outgoing: &OutgoingRequest<'_>,
+    added_headers: &UpstreamHeaders<'_>,
+) -> Result<PendingResponse, CallError> {
+    let codec = &*shared.codec;
     let uri = outgoing.target.parse::<Uri>().map_err(http::Error::from);
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.uri_mut() = uri.context(MalformedSnafu)?;
@@ -268,7 +298,9 @@
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-/// Sends a request and reads the complete response within `limit`.
+/// Sends a control call and reads the complete response within `limit`.
+///
+/// Unlike a request, the call is also sent to a server that takes no new requests.
 ///
 /// # Errors
 /// [`CallError`] if no complete response arrived.
@@ -280,7 +312,8 @@
     limit: Duration,
 ) -> Result<FullResponse, CallError> {
     let call = async {
-        let pending = send(shared, backend, outgoing, added_headers).await?;
+        let connection = checkout(shared, backend).await?;
+        let pending = send_on(connection, shared, backend, outgoing, added_headers).await?;
         read_body(pending).await
     };
     tokio::time::timeout(limit, call)
--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -249,7 +249,7 @@
 /// Sends a request to one server, and once more if a reused connection broke.
 ///
 /// The server may have closed the idle connection just before the request. Only idempotent
-/// requests are sent again.
+/// requests are sent again, and only while the server takes new requests.
 async fn attempt(
     shared: &Shared,
     request: &RelayRequest<'_>,
@@ -260,7 +260,7 @@
     let is_stale = first.as_ref().is_err_and(CallError::is_stale);
     let may_resend = is_stale && request.route.kind == RequestKind::Idempotent;
     let is_clear = request.clearance(shared) == Clearance::Clear;
-    if !may_resend || !is_clear || shared.is_leaving(&backend) {
+    if !may_resend || !is_clear {
         return (backend, first);
     }
     let second = send(shared, request, &backend, &running).await;
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -329,8 +329,8 @@
     let Some(holder) = holder.filter(|_| shared.leaving.get().is_none()) else {
         return LeaseSnafu.fail();
     };
-    // The report that was just read may have announced that the server is leaving.
-    if shared.is_leaving(backend) {
+    // The report that was just read took a while, and may have announced that the server leaves.
+    if !shared.takes_requests(backend) {
         return LeavingSnafu.fail();
     }
     let order = LoadRequest {
