--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -203,6 +203,10 @@
         fleet.retain_listed(&ids, &contact, now);
     }
     for (_, change) in page.items {
+        if let Some(reason) = &change.unreadable {
+            event!("server_unreadable", "server" => change.id, "reason" => reason);
+            shared.metrics.unreadable.inc();
+        }
         let before = fleet.get(&change.id).map(|known| (known.state, known.born));
         let after = change.entry.as_ref().map(|entry| (entry.state, entry.born));
         if before != after {
--- a/src/instance/interfaces.rs
+++ b/src/instance/interfaces.rs
@@ -188,6 +188,8 @@
     pub id: String,
     /// The new entry; none if the entry was removed or could not be decoded.
     pub entry: Option<Backend>,
+    /// Why the entry could not be decoded, if so.
+    pub unreadable: Option<String>,
 }
 
 /// The platform's store: shared logs and two keyed tables.
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -24,6 +24,8 @@
     pub crashes: IntCounterVec,
     /// Server runs whose shutdown this instance learned from their own answers.
     pub leaving: IntCounter,
+    /// Registry entries of backend servers that could not be decoded.
+    pub unreadable: IntCounter,
     /// Current values, such as open jobs, running items, known instances and opened connections.
     pub present: IntGaugeVec,
 }
@@ -51,6 +53,10 @@
             "basillead_servers_leaving_total",
             "Backend servers that said that they leave",
         )?;
+        let unreadable = IntCounter::new(
+            "basillead_server_entries_unreadable_total",
+            "Registry entries of backend servers that could not be decoded",
+        )?;
         let present = Opts::new("basillead_present", "Present values");
         let present = IntGaugeVec::new(present, &["what"])?;
         registry.register(Box::new(requests.clone()))?;
@@ -58,6 +64,7 @@
         registry.register(Box::new(items.clone()))?;
         registry.register(Box::new(crashes.clone()))?;
         registry.register(Box::new(leaving.clone()))?;
+        registry.register(Box::new(unreadable.clone()))?;
         registry.register(Box::new(present.clone()))?;
         Ok(Self {
             registry,
@@ -66,6 +73,7 @@
             items,
             crashes,
             leaving,
+            unreadable,
             present,
         })
     }
--- a/tests/instance/fleet.rs
+++ b/tests/instance/fleet.rs
@@ -26,6 +26,7 @@
     ServerChange {
         id: id.to_owned(),
         entry,
+        unreadable: None,
     }
 }
 
