Log one line for all unreadable entries of a read

With hundreds of unreadable entries the line for each of them used up the limit on log lines, and hid what mattered.

--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -190,8 +190,22 @@
     }
 }
 
+/// Counts entries that could not be decoded, and logs the first one of a page.
+fn note_unreadable(shared: &Shared, page: &Page<ServerChange>) {
+    let changes = page.items.iter().map(|(_, change)| change);
+    let mut unreadable = changes.filter_map(|change| Some((change, change.unreadable.as_ref()?)));
+    let Some((first, reason)) = unreadable.next() else {
+        return;
+    };
+    let more = unreadable.count();
+    event!("server_unreadable", "server" => first.id, "reason" => reason, "more" => more);
+    let count = u64::try_from(more).unwrap_or(u64::MAX).saturating_add(1);
+    shared.metrics.unreadable.inc_by(count);
+}
+
 /// Applies changes of the registry, and records the crashes of servers that ended.
 fn apply_servers(shared: &Shared, page: Page<ServerChange>, now: Boot) {
+    note_unreadable(shared, &page);
     let contact = shared.contacts.borrow().servers;
     let mut fleet = shared.fleet.borrow_mut();
     if page.snapshot {
@@ -203,10 +217,6 @@
         fleet.retain_listed(&ids, &contact, now);
     }
     for (_, change) in page.items {
-        if let Some(reason) = &change.unreadable {
-            event!("server_unreadable", "server" => change.id, "reason" => reason);
-            shared.metrics.unreadable.inc();
-        }
         let before = fleet.get(&change.id).map(|known| (known.state, known.born));
         let after = change.entry.as_ref().map(|entry| (entry.state, entry.born));
         if before != after {
