Break off an event stream that its server ended within an event

A caller's stream ended as if it were complete when its server, without a length or chunks, closed the connection in the middle of an event, as a killed process does.

Cause: the end of the connection was passed on as the end of the stream.

Evidence, before the fix: broken_stream_without_length the stream of "id: 1, data: one, id: 2" ends with the last chunk and it passes with it.

Change: gateway::event_boundary follows such streams; one that ends within an event is broken off.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,8 +14,11 @@
 use tokio::time::{Sleep, sleep, timeout};
 
 use super::admit::Admitted;
+use super::event_boundary::EventBoundary;
 use super::handle::Call;
-use super::reply::{Body, BrokenSnafu, StreamError, TimeoutSnafu, full_body, retry_later, status};
+use super::reply::{
+    Body, BrokenSnafu, StreamError, TimeoutSnafu, TruncatedSnafu, full_body, retry_later, status,
+};
 use super::stop::Timer;
 use super::suspect::allowed_attempts;
 use crate::boot::Boot;
@@ -143,6 +146,8 @@
     body: Incoming,
     /// Completes when the stream is ended, whether or not it is complete.
     deadline: Pin<Box<Sleep>>,
+    /// Present if the body ends with its connection.
+    boundary: Option<EventBoundary>,
     connection: Option<PooledConnection>,
     watch: Option<StreamWatch>,
     _running: InFlight,
@@ -163,6 +168,12 @@
         }
         let polled = Pin::new(&mut self.body).poll_frame(cx);
         match &polled {
+            Poll::Ready(None) if self.boundary.is_some_and(|known| !known.is_complete()) => {
+                if let Some(watch) = self.watch.take() {
+                    watch.broke();
+                }
+                return Poll::Ready(Some(TruncatedSnafu.fail()));
+            }
             Poll::Ready(None) => {
                 if let Some(connection) = self.connection.take() {
                     connection.return_to_pool();
@@ -176,7 +187,12 @@
                     watch.broke();
                 }
             }
-            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
+            Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(boundary), Some(bytes)) = (&mut self.boundary, frame.data_ref()) {
+                    boundary.push(bytes);
+                }
+            }
+            Poll::Pending => {}
         }
         polled.map(|frame| frame.map(|frame| frame.context(BrokenSnafu)))
     }
@@ -259,12 +275,14 @@
             connection,
             ..
         } = pending;
+        let boundary = EventBoundary::of(&head.headers);
         call::strip_hop_headers(&mut head.headers);
         let end_in = deadline.left(Boot::now()) + STREAM_END_MARGIN;
         let relayed = RelayedStream {
             id: id.clone(),
             body,
             deadline: Box::pin(sleep(end_in)),
+            boundary,
             connection: Some(connection),
             watch: Some(StreamWatch {
                 shared: Rc::clone(shared),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod active;
 pub mod admit;
+pub mod event_boundary;
 pub mod forward;
 pub mod handle;
 pub mod jobs;
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -21,6 +21,9 @@
         /// The cause.
         source: hyper::Error,
     },
+    /// The server closed the connection in the middle of an event.
+    #[snafu(display("the server's response ended in the middle of an event"))]
+    Truncated,
     /// The response was not complete at the request's deadline.
     #[snafu(display("the response was not complete at the deadline"))]
     Timeout,
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -3,6 +3,7 @@
 mod admit;
 mod crashes;
 mod drafts;
+mod event_boundary;
 mod fleet;
 mod leases;
 mod ledger_state;
