Accept jobs in a stop as long as the limit on appends allows

A stopping instance refused jobs from the SIGTERM on, unless it had seen 16 of the same route: it took the route's time-out, which is far beyond the exit, for the bound on the acceptance.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -166,9 +166,15 @@
     let Some(schedule) = shared.stop_schedule() else {
         return true;
     };
+    let deadline = match admitted.route.kind {
+        RequestKind::Rollout => jobs::deadline(call, admitted),
+        RequestKind::Idempotent | RequestKind::Once | RequestKind::Stream { .. } => {
+            forward::deadline(call, admitted)
+        }
+    };
     let now = Boot::now();
     let longest = shared.durations.longest(&admitted.route.name, now);
-    !shared.is_closing() && schedule.accepts(forward::deadline(call, admitted), longest, now)
+    !shared.is_closing() && schedule.accepts(deadline, longest, now)
 }
 
 /// Handles a call on an existing job; none if the request is no such call or a route matches it.
--- a/src/gateway/jobs.rs
+++ b/src/gateway/jobs.rs
@@ -36,6 +36,11 @@
 /// Limit on the time that a trainer may wait for a result.
 const WAIT_MAX: Duration = Duration::from_secs(30);
 
+/// Returns the time by which a trainer has a response to a submission.
+pub(super) fn deadline(call: &Call, admitted: &Admitted) -> Boot {
+    forward::deadline(call, admitted).min(call.arrived + APPEND_TIMEOUT)
+}
+
 /// Accepts a job once its record is in the log.
 pub async fn submit(shared: &Shared, call: &Call, admitted: &Admitted) -> Response<Body> {
     let caller_request = &call.caller_request;
@@ -63,7 +68,7 @@
     let model = submission.model.clone();
     let min_version = submission.min_version;
     let target = submission.group_target;
-    let deadline = forward::deadline(call, admitted).min(Boot::now() + APPEND_TIMEOUT);
+    let deadline = deadline(call, admitted);
     let stored = shared
         .payloads
         .write_contents(submission.contents, deadline);
