Log the limits on requests that backend servers name

The header Server-Limit is decoded into a type of ours, and each change of what is believed of a server's limit is logged once as server_limit, with the rates before and after and the request that brought it. Nothing acts on it yet.

--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -248,6 +248,11 @@
         .pool
         .retain(|id, born| fleet.get(id).is_some_and(|known| known.born == born));
     shared.load.retain(|id| fleet.get(id).is_some());
+    shared.limits.borrow_mut().retain(|process| {
+        fleet
+            .get(&process.id)
+            .is_some_and(|known| known.born == process.born)
+    });
     drop(fleet);
     shared.state_changed.notify_waiters();
 }
--- a/src/instance/interfaces.rs
+++ b/src/instance/interfaces.rs
@@ -341,6 +341,19 @@
     pub keep_alive: Option<Duration>,
     /// Whether the server announces that it is shutting down.
     pub leaving: bool,
+    /// The request rate to which the server limits all instances together.
+    pub limit: StatedLimit,
+}
+
+/// What an answer of a backend server says of the request rate that the server takes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum StatedLimit {
+    /// The answer names no limit.
+    None,
+    /// Requests per second that the server takes from all instances together.
+    Rate(f64),
+    /// The answer names a limit that is not a rate.
+    Unreadable,
 }
 
 /// A job as a trainer submitted it.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -35,6 +35,7 @@
 use crate::ledger::writer::Writer;
 use crate::relay::choose::{Candidate, choose};
 use crate::relay::crash::UnansweredRequests;
+use crate::relay::limit::Limits;
 use crate::relay::load::Load;
 use crate::relay::pool::Pool;
 use crate::relay::warmup::WarmupRate;
@@ -43,7 +44,7 @@
 use events::event;
 use fleet::Fleet;
 use interest::Interest;
-use interfaces::{Backend, Codec, LeaseHolder, PlatformApi, Store};
+use interfaces::{Backend, Codec, LeaseHolder, PlatformApi, StatedLimit, Store};
 use metrics::Metrics;
 use payloads::Payloads;
 use settings::InstanceSettings;
@@ -120,6 +121,8 @@
     pub pool: Pool,
     /// Load of backend servers, as seen by this instance.
     pub load: Load,
+    /// Request rates to which servers limit all instances together.
+    pub limits: RefCell<Limits>,
     /// Requests that were sent to a server and got no answer.
     pub unanswered: UnansweredRequests,
     /// Counts of requests that began to run, by usage window and tenant.
@@ -281,6 +284,27 @@
         drop(self.writer.push(&Record::Leaving { server, said }));
     }
 
+    /// Records what an answer says of its server's limit on requests.
+    ///
+    /// The answer's request, with id `request`, was sent at `sent`.
+    pub fn note_limit(
+        &self,
+        backend: &Backend,
+        request: Option<&str>,
+        stated: StatedLimit,
+        sent: Boot,
+    ) {
+        let process = backend.process();
+        let mut limits = self.limits.borrow_mut();
+        let Some(change) = limits.hear(&process, stated, sent, Boot::now()) else {
+            return;
+        };
+        let text = |rate: Option<f64>| rate.map_or_else(String::new, |rate| rate.to_string());
+        event!("server_limit", "server" => backend.id, "born" => backend.born,
+            "id" => request.unwrap_or_default(), "before" => text(change.before),
+            "after" => text(change.after), "limited" => limits.len());
+    }
+
     /// Whether this run of the server announced its shutdown.
     #[must_use]
     pub fn is_leaving(&self, backend: &Backend) -> bool {
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -10,8 +10,10 @@
 
 use super::choose::Link;
 use super::pool::{PoolError, PooledConnection};
+use crate::boot::Boot;
 use crate::instance::Shared;
-use crate::instance::interfaces::{Backend, UpstreamHeaders, UpstreamReply};
+
+use crate::instance::interfaces::{Backend, StatedLimit, UpstreamHeaders, UpstreamReply};
 use crate::util::unix_ms;
 
 /// Limit on a buffered response body, since a faulty server may send bytes without end.
@@ -240,6 +242,7 @@
     };
     let link = connection.link;
     let sent = unix_ms();
+    let sent_at = Boot::now();
     let answer = sender.send_request(request).await;
     let answer = answer.context(BrokenSnafu { link })?;
     let (head, body) = answer.into_parts();
@@ -250,6 +253,9 @@
     if reply.leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
         shared.note_leaving(backend, added_headers.id, sent);
     }
+    if let Some(stated) = stated_limit(&reply, head.status, added_headers.id) {
+        shared.note_limit(backend, added_headers.id, stated, sent_at);
+    }
     if has_wrong_id(&reply, head.status, added_headers.id) {
         return WrongIdSnafu.fail();
     }
@@ -261,6 +267,26 @@
     })
 }
 
+/// What a response says of the intended server's limit, if it says anything.
+///
+/// Any response of the server may name a limit, but only a success shows that there is none: other
+/// responses may come without the server's usual headers, as do those to the instance's own calls.
+fn stated_limit(
+    reply: &UpstreamReply,
+    status: StatusCode,
+    id: Option<&str>,
+) -> Option<StatedLimit> {
+    let shows_none = id.is_some()
+        && status.is_success()
+        && reply.signature.is_some()
+        && !has_wrong_id(reply, status, id);
+    match reply.limit {
+        _ if status == StatusCode::MISDIRECTED_REQUEST => None,
+        StatedLimit::None if !shows_none => None,
+        stated => Some(stated),
+    }
+}
+
 /// Whether a response does not belong to the request `id`.
 ///
 /// A success must repeat the id; another response may omit it.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod choose;
 pub mod crash;
+pub mod limit;
 pub mod load;
 pub mod pool;
 pub mod retry;
