--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -27,7 +27,6 @@
 use crate::instance::interfaces::{Backend, UpstreamHeaders};
 use crate::names::Fingerprint;
 use crate::relay::call::{self, FullResponse, OutgoingRequest};
-use crate::relay::choose::FULL_RETRY_AFTER;
 use crate::relay::crash::{self, RequestParts, SendGuard};
 use crate::relay::load::InFlight;
 use crate::relay::pool::PooledConnection;
@@ -93,13 +92,13 @@
     let began = unix_ms();
     let outcome = retry::run(shared, &relay_request).await;
     if let Some(tenant) = admitted.tenant.as_deref()
-        && !matches!(outcome, RelayOutcome::NotRun)
+        && !matches!(outcome, RelayOutcome::NotRun(_))
     {
         shared.count_usage(tenant, began);
     }
     match outcome {
         RelayOutcome::Answered(answer) => into_response(*answer),
-        RelayOutcome::NotRun => retry_later(FULL_RETRY_AFTER),
+        RelayOutcome::NotRun(wait) => retry_later(wait),
         RelayOutcome::Unknown if Boot::now() >= relay_request.deadline => {
             status(StatusCode::GATEWAY_TIMEOUT)
         }
@@ -222,10 +221,10 @@
     let began = unix_ms();
     loop {
         let Some(backend) = shared.choose_server(service, &tried) else {
-            return retry_later(FULL_RETRY_AFTER);
+            return retry_later(shared.retry_after(service));
         };
         if !tried.insert(backend.id.clone()) {
-            return retry_later(FULL_RETRY_AFTER);
+            return retry_later(shared.retry_after(service));
         }
         let running = shared.load.enter(&backend.id);
         let left = deadline.left(Boot::now());
--- a/src/instance/follow.rs
+++ b/src/instance/follow.rs
@@ -17,7 +17,9 @@
 use super::trim::Trimmer;
 use super::{heartbeats, leases};
 use crate::boot::Boot;
-use crate::ledger::record::{CounterRecord, Decoder, Heartbeat, JobEvent, Record, Subject};
+use crate::ledger::record::{
+    CounterRecord, Decoder, DemandRecord, Heartbeat, JobEvent, Record, Subject,
+};
 use crate::relay::crash;
 
 /// Time for which the store holds a long poll that has nothing new to return.
@@ -36,6 +38,11 @@
 const HEARTBEAT_RETENTION: Duration = Duration::from_secs(6);
 /// Retention of counters: longer than it takes until a usage window is final.
 const COUNTERS_RETENTION: Duration = Duration::from_secs(20);
+/// Retention of demands: longer than any of them is valid.
+const DEMAND_RETENTION: Duration = Duration::from_secs(15);
+/// Pause between two reads of demands: with the wait of a long poll, reads stay more recent than
+/// those on which an instance may act.
+const DEMAND_PAUSE: Duration = Duration::from_millis(150);
 /// Time between two deletions of a log's old records.
 const TRIM_INTERVAL: Duration = Duration::from_secs(4);
 /// Pause between two reads of heartbeats or counters, which arrive continuously.
@@ -359,6 +366,14 @@
         {
             event!("server_leaving", "server" => server, "said" => said, "offset" => offset);
         }
+        if let Record::Limit {
+            server,
+            service,
+            rate,
+        } = &record
+        {
+            apply_limit(&shared, server, service, *rate, received);
+        }
         shared.ledger.borrow_mut().apply(record, offset, received);
     };
     let after_page = |page: &AppliedPage| {
@@ -393,6 +408,50 @@
     .await;
 }
 
+fn apply_limit(
+    shared: &Shared,
+    process: &ServerProcess,
+    service: &str,
+    rate: Option<f64>,
+    received: Boot,
+) {
+    let mut limits = shared.limits.borrow_mut();
+    let change = limits.apply(process.clone(), service, rate, received);
+    drop(limits);
+    if let Some(change) = change {
+        shared.log_limit(process, "ledger", change);
+    }
+}
+
+/// Follows the log of demands while this instance has a demand itself, and deletes old ones.
+pub async fn demands(shared: Rc<Shared>) {
+    let interest = &shared.demands_interest;
+    let until_needed = async || {
+        while !interest.is_needed() {
+            interest.wait_needed().await;
+        }
+    };
+    let mut trimmer = Trimmer::new(Log::Demands, DEMAND_RETENTION, TRIM_INTERVAL);
+    let apply = |demand: DemandRecord, _, received| {
+        shared.limits.borrow_mut().apply_demand(demand, received);
+    };
+    let after_page = |page: &AppliedPage| {
+        if !page.is_last {
+            return Duration::ZERO;
+        }
+        let mut limits = shared.limits.borrow_mut();
+        limits.note_view(page.sent, page.received);
+        trim(&shared, &mut trimmer, page, limits.is_trimmer());
+        if page.pieces > 0 {
+            DEMAND_PAUSE
+        } else {
+            Duration::ZERO
+        }
+    };
+    let log = Log::Demands;
+    follow(&shared, log, "demands", until_needed, apply, after_page).await;
+}
+
 /// Follows the log of jobs while this instance needs it.
 ///
 /// That is while it leads a service, is next in line to lead one, or is asked about a job.
--- a/src/instance/interfaces.rs
+++ b/src/instance/interfaces.rs
@@ -73,6 +73,9 @@
     Signs(u32),
     /// Instances' request counters; followed by the instance that reports usage.
     Counters,
+    /// Demands for servers that limit all instances together; followed by the instances that have
+    /// such demands.
+    Demands,
     /// Contents of jobs and texts of results; read on demand by offset.
     Payloads,
     /// Unfinished texts; read by an instance that becomes a service's leader.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -4,6 +4,7 @@
 pub mod backoff;
 pub mod contact;
 pub mod counters;
+pub mod demands;
 pub mod deployment;
 pub mod directory;
 pub mod events;
@@ -33,9 +34,9 @@
 use crate::ledger::record::{Counts, Incarnation, Record, Subject};
 use crate::ledger::state::LedgerState;
 use crate::ledger::writer::Writer;
-use crate::relay::choose::{Candidate, choose};
+use crate::relay::choose::{Candidate, FULL_RETRY_AFTER, choose};
 use crate::relay::crash::UnansweredRequests;
-use crate::relay::limit::Limits;
+use crate::relay::limit::{LimitChange, Limits};
 use crate::relay::load::Load;
 use crate::relay::pool::Pool;
 use crate::relay::warmup::WarmupRate;
@@ -44,13 +45,16 @@
 use events::event;
 use fleet::Fleet;
 use interest::Interest;
-use interfaces::{Backend, Codec, LeaseHolder, PlatformApi, StatedLimit, Store};
+use interfaces::{Backend, Codec, LeaseHolder, PlatformApi, ServerProcess, StatedLimit, Store};
 use metrics::Metrics;
 use payloads::Payloads;
 use settings::InstanceSettings;
 
 /// Safety margin below the withdrawal bound, for a request that is still being read.
 const WITHDRAWAL_MARGIN: Duration = Duration::from_millis(150);
+/// `Retry-After` while an instance has no part of the servers' limits yet, and the longest one
+/// that it states for them.
+const LIMITED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// How recently each stream of the store was read to its end.
 #[derive(Debug, Default)]
@@ -94,6 +98,8 @@
     pub instance_table: RefCell<InstanceTable>,
     /// Request counters of all instances, for usage reports.
     pub counters: RefCell<Counters>,
+    /// Current users of the log of demands.
+    pub demands_interest: Interest,
     /// Current users of the log of jobs.
     pub jobs_interest: Interest,
     /// How recently each stream of the store was read.
@@ -103,6 +109,8 @@
     pub state_changed: Notify,
     /// Notified when a heartbeat must be sent at once.
     pub heartbeat_due: Notify,
+    /// Notified when this instance's demand must be written at once.
+    pub demand_due: Notify,
     /// Notified when leases must be renewed at once.
     pub renewal_due: Notify,
     /// Appends to the ledger.
@@ -111,6 +119,8 @@
     pub job_writer: Writer,
     /// Appends to this instance's partition of the heartbeat log.
     pub heartbeat_writer: Writer,
+    /// Appends to the log of demands.
+    pub demand_writer: Writer,
     /// Appends to the log of counters.
     pub counter_writer: Writer,
     /// Contents of jobs and texts of results.
@@ -221,6 +231,7 @@
         let fleet = self.fleet.borrow();
         let mut usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
         self.exclude_warming(service, &mut usable, now);
+        self.exclude_limited(service, &mut usable, now);
         let candidate = |backend: &&Rc<Backend>| Candidate {
             running: self.load.running(&backend.id),
             slots: backend.slots,
@@ -261,6 +272,69 @@
         });
     }
 
+    /// Excludes servers whose limit leaves no request to this instance now.
+    fn exclude_limited(&self, service: &str, usable: &mut Vec<&Rc<Backend>>, now: Boot) {
+        self.note_demand(service, now);
+        let mut limits = self.limits.borrow_mut();
+        usable.retain(|backend| limits.has_permit(backend, now));
+    }
+
+    /// Counts a request to a service, for the instance's part of its servers' limits.
+    pub fn note_demand(&self, service: &str, now: Boot) {
+        if self.limits.borrow_mut().want(service, now) {
+            self.demand_due.notify_one();
+        }
+    }
+
+    /// Takes a permit to send a request, or a report or order if `is_control`, to a server;
+    /// returns whether its limit leaves one.
+    #[must_use]
+    pub fn take_permit(&self, backend: &Backend, is_control: bool) -> bool {
+        let mut limits = self.limits.borrow_mut();
+        if is_control {
+            limits.take_control(backend, Boot::now())
+        } else {
+            limits.take(backend, Boot::now())
+        }
+    }
+
+    /// Whether a server's limit leaves `count` reports and load orders now.
+    #[must_use]
+    pub fn has_control_permits(&self, backend: &Backend, count: u32) -> bool {
+        let mut limits = self.limits.borrow_mut();
+        limits.has_control_permits(backend, count, Boot::now())
+    }
+
+    /// Whether a server's limit leaves this instance a request now.
+    #[must_use]
+    pub fn has_permit(&self, backend: &Backend) -> bool {
+        self.limits.borrow_mut().has_permit(backend, Boot::now())
+    }
+
+    /// When a server of a service may next get a request, if limits prevent it now.
+    #[must_use]
+    pub fn permit_at(&self, service: &str, now: Boot) -> Option<Boot> {
+        let fleet = self.fleet.borrow();
+        let mut limits = self.limits.borrow_mut();
+        let usable = fleet.usable(service, now);
+        usable
+            .filter_map(|backend| limits.permit_at(backend, now))
+            .min()
+    }
+
+    /// Time after which a request that no server of a service could take may come again.
+    #[must_use]
+    pub fn retry_after(&self, service: &str) -> Duration {
+        let now = Boot::now();
+        let is_limited = self.limits.borrow().is_limited(service);
+        let wait = match self.permit_at(service, now) {
+            Some(at) => at.left(now),
+            None if is_limited => LIMITED_RETRY_AFTER,
+            None => FULL_RETRY_AFTER,
+        };
+        wait.clamp(FULL_RETRY_AFTER, LIMITED_RETRY_AFTER)
+    }
+
     /// Records that a server announced its shutdown, and tells the other instances.
     ///
     /// The announcement came in the answer to the request with id `request`, sent at Unix time
@@ -294,15 +368,29 @@
         stated: StatedLimit,
         sent: Boot,
     ) {
-        let process = backend.process();
         let mut limits = self.limits.borrow_mut();
-        let Some(change) = limits.hear(&process, stated, sent, Boot::now()) else {
-            return;
-        };
+        let heard = limits.hear(backend, stated, sent, Boot::now(), rand::random());
+        drop(limits);
+        if let Some(change) = heard.change {
+            self.log_limit(&backend.process(), request.unwrap_or_default(), change);
+        }
+        if heard.must_tell {
+            // The record is written even though nothing awaits its acknowledgement.
+            drop(self.writer.push(&Record::Limit {
+                server: backend.process(),
+                service: backend.service.clone(),
+                rate: heard.rate,
+            }));
+        }
+    }
+
+    /// Logs a change of a server's limit; `source` is the request that brought it, or the ledger.
+    pub fn log_limit(&self, process: &ServerProcess, source: &str, change: LimitChange) {
         let text = |rate: Option<f64>| rate.map_or_else(String::new, |rate| rate.to_string());
-        event!("server_limit", "server" => backend.id, "born" => backend.born,
-            "id" => request.unwrap_or_default(), "before" => text(change.before),
-            "after" => text(change.after), "limited" => limits.len());
+        event!("server_limit", "server" => process.id, "born" => process.born,
+            "source" => source, "before" => text(change.before), "after" => text(change.after),
+            "limited" => self.limits.borrow().len());
+        self.demand_due.notify_one();
     }
 
     /// Whether this run of the server announced its shutdown.
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -18,7 +18,7 @@
 use super::metrics::Metrics;
 use super::payloads::Payloads;
 use super::settings::InstanceSettings;
-use super::{Contacts, Shared, counters, directory, follow, heartbeats, leases};
+use super::{Contacts, Shared, counters, demands, directory, follow, heartbeats, leases};
 use crate::boot::Boot;
 use crate::duty::{scale, usage};
 use crate::gateway::listen;
@@ -27,6 +27,7 @@
 use crate::ledger::state::LedgerState;
 use crate::ledger::writer::Writer;
 use crate::relay::crash::UnansweredRequests;
+use crate::relay::limit::Limits;
 use crate::relay::load::Load;
 use crate::relay::pool::Pool;
 use crate::scheduler::Scheduler;
@@ -114,6 +115,7 @@
         &shared.job_writer,
         &shared.heartbeat_writer,
         &shared.counter_writer,
+        &shared.demand_writer,
         &shared.payloads.writer,
         &shared.draft_writer,
     ];
@@ -124,6 +126,8 @@
             call_bytes,
         ));
     }
+    spawn_local(follow::demands(Rc::clone(&shared)));
+    spawn_local(demands::run(Rc::clone(&shared)));
     spawn_local(heartbeats::send_heartbeats(Rc::clone(&shared)));
     spawn_local(heartbeats::renew_leases(Rc::clone(&shared)));
     spawn_local(leases::run(Rc::clone(&shared)));
@@ -147,6 +151,7 @@
 }
 
 fn shared(settings: InstanceSettings, platform: Platform) -> Result<Rc<Shared>, StartError> {
+    let incarnation = Incarnation(random_id());
     Ok(Rc::new(Shared {
         writer: Writer::new(Log::Ledger, settings.record_bytes),
         job_writer: Writer::new(Log::Jobs, settings.record_bytes),
@@ -155,10 +160,12 @@
             settings.record_bytes,
         ),
         counter_writer: Writer::new(Log::Counters, settings.record_bytes),
+        demand_writer: Writer::new(Log::Demands, settings.record_bytes),
         payloads: Payloads::new(Writer::new(Log::Payloads, settings.record_bytes)),
         draft_writer: Writer::new(Log::Drafts, settings.record_bytes),
         settings,
-        incarnation: Incarnation(random_id()),
+        limits: RefCell::new(Limits::new(incarnation.clone())),
+        incarnation,
         store: platform.store,
         platform: platform.api,
         codec: platform.codec,
@@ -169,13 +176,14 @@
         instance_table: RefCell::default(),
         counters: RefCell::default(),
         jobs_interest: Interest::default(),
+        demands_interest: Interest::default(),
         contacts: RefCell::new(Contacts::default()),
         state_changed: Notify::new(),
         heartbeat_due: Notify::new(),
+        demand_due: Notify::new(),
         renewal_due: Notify::new(),
         pool: Pool::default(),
         load: Load::default(),
-        limits: RefCell::default(),
         unanswered: UnansweredRequests::default(),
         usage: RefCell::default(),
         renewals: RefCell::default(),
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod counters;
 pub mod crashes;
+pub mod demand;
 pub mod drafts;
 pub mod instances;
 pub mod lease;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -76,6 +76,20 @@
     pub counts: BTreeMap<u64, Counts>,
 }
 
+/// What an instance asks of services whose servers limit all instances together; a record of the
+/// demand log, which replaces the process's record before.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DemandRecord {
+    /// The writer.
+    pub incarnation: Incarnation,
+    /// Number of the record since the start of the process.
+    pub number: u64,
+    /// Time for which the others count the record after they read it, in milliseconds.
+    pub valid_ms: u64,
+    /// Demand by service, in requests over the same period at all instances.
+    pub demands: BTreeMap<String, u32>,
+}
+
 /// Part of an item's text; a record of the draft log.
 ///
 /// The next leader continues the text from its parts.
@@ -162,6 +176,15 @@
         /// Unix time in milliseconds at which the request was sent that got this answer.
         said: u64,
     },
+    /// A backend server named a limit on its requests, or answered that it has none any more.
+    Limit {
+        /// The server process.
+        server: ServerProcess,
+        /// The service that the server belongs to.
+        service: String,
+        /// Requests per second that the server takes from all instances together.
+        rate: Option<f64>,
+    },
     /// Backend servers crashed while running a request.
     Crashed(Crash),
     /// Asks for a trial run of a refused request; the first record once it is due wins.
--- a/src/ledger/state.rs
+++ b/src/ledger/state.rs
@@ -91,8 +91,8 @@
                     self.windows.pop_first();
                 }
             }
-            // The task that follows the ledger applies these records to the fleet.
-            Record::Leaving { .. } => {}
+            // The task that follows the ledger applies these records to the servers.
+            Record::Leaving { .. } | Record::Limit { .. } => {}
             Record::Crashed(crash) => self.crashes.record(crash),
             Record::Trial { request, wall } => self.crashes.grant_trial(&request, wall, offset),
             Record::Forgiven { request, wall } => self.crashes.clear(request, wall),
--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -33,6 +33,9 @@
     /// The server takes no new requests any more, so nothing was sent.
     #[snafu(display("the server takes no new requests any more"))]
     Unusable,
+    /// The server's limit leaves this instance no request now, so nothing was sent.
+    #[snafu(display("the server's limit on requests leaves none to this instance now"))]
+    Limited,
     /// The request could not be built, so nothing was sent.
     #[snafu(display("malformed path or query in the request: {source}"))]
     Malformed {
@@ -67,7 +70,7 @@
     pub fn is_unsent(&self) -> bool {
         matches!(
             self,
-            Self::Unsent { .. } | Self::Unusable | Self::Malformed { .. }
+            Self::Unsent { .. } | Self::Unusable | Self::Limited | Self::Malformed { .. }
         )
     }
 
@@ -93,20 +96,22 @@
                 .is_some_and(|source| !source.is_parse()),
             Self::Unsent { .. }
             | Self::Unusable
+            | Self::Limited
             | Self::Malformed { .. }
             | Self::WrongId
             | Self::Timeout => false,
         }
     }
 
-    /// Whether this instance's share of the server's connections was in use.
+    /// Whether this instance's share of the server's connections or of its limit was in use.
     #[must_use]
     pub fn is_busy(&self) -> bool {
         matches!(
             self,
-            Self::Unsent {
-                source: PoolError::Exhausted
-            }
+            Self::Limited
+                | Self::Unsent {
+                    source: PoolError::Exhausted
+                }
         )
     }
 }
@@ -201,6 +206,7 @@
     added_headers: &UpstreamHeaders<'_>,
 ) -> Result<PendingResponse, CallError> {
     ensure!(shared.takes_requests(backend), UnusableSnafu);
+    ensure!(shared.has_permit(backend), LimitedSnafu);
     let connection = checkout(shared, backend).await?;
     // The server may have begun to drain while the connection was opened.
     if !shared.takes_requests(backend) {
@@ -217,6 +223,8 @@
 }
 
 /// Sends a request on a connection, and waits for the response head.
+///
+/// Every request to a server passes here, whatever its purpose, and counts towards its limit.
 async fn send_on(
     mut connection: PooledConnection,
     shared: &Shared,
@@ -224,6 +232,11 @@
     outgoing: &OutgoingRequest<'_>,
     added_headers: &UpstreamHeaders<'_>,
 ) -> Result<PendingResponse, CallError> {
+    let is_control = added_headers.id.is_none();
+    if !shared.take_permit(backend, is_control) {
+        connection.return_to_pool();
+        return LimitedSnafu.fail();
+    }
     let codec = &*shared.codec;
     let uri = outgoing.target.parse::<Uri>().map_err(http::Error::from);
     let mut request = Request::new(Full::new(outgoing.body.clone()));
--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -25,6 +25,11 @@
 
 /// Minimum time left before the deadline for a retry.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(15);
+/// Share of the route's latency objective for which a request waits for a server's limit: one that
+/// is refused then can still be served in time elsewhere.
+const PATIENCE_SHARE: f64 = 0.2;
+/// Shortest wait for a server's limit; of the requests that wait, one gets the permit.
+const PERMIT_WAIT_MIN: Duration = Duration::from_millis(2);
 /// Backoff after each server has refused the request.
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(20);
 /// Time for which a failed server is avoided.
@@ -83,6 +88,19 @@
         }
     }
 
+    /// Returns until when the request may wait for a server whose limit has none left for it.
+    fn patience(&self) -> Boot {
+        let now = Boot::now();
+        match self.entitlement {
+            Entitlement::Response => {
+                let objective = self.route.latency_objective.mul_f64(PATIENCE_SHARE);
+                self.deadline.min(now + objective)
+            }
+            // The caller of an accepted request comes back after a pause.
+            Entitlement::Run => now,
+        }
+    }
+
     /// Returns whether the request may be sent again, given the crashes known now.
     fn clearance(&self, shared: &Shared) -> Clearance {
         let crashes = &shared.ledger.borrow().crashes;
@@ -98,8 +116,8 @@
 pub enum RelayOutcome {
     /// A server's response; a 5xx response only if no attempt had a better one.
     Answered(Box<FullResponse>),
-    /// No server took the request; it has not run.
-    NotRun,
+    /// No server took the request; it has not run, and may come again after this time.
+    NotRun(Duration),
     /// The request may have run, and no valid response came in time.
     Unknown,
 }
@@ -135,14 +153,20 @@
 async fn run_attempts(shared: &Shared, request: &RelayRequest<'_>) -> RelayOutcome {
     let repeatable = request.route.kind == RequestKind::Idempotent;
     let service = request.route.target(rand::random());
+    let patience = request.patience();
     let mut tally = AttemptTally::default();
     let mut calls = FuturesUnordered::new();
     loop {
         let now = Boot::now();
         if calls.is_empty() {
             let Some(backend) = shared.choose_server(service, &tally.tried) else {
-                event!("no_server", "id" => request.id, "service" => service);
-                return tally.finish();
+                if wait_for_permit(shared, service, patience).await {
+                    continue;
+                }
+                let is_limited = shared.limits.borrow().is_limited(service);
+                event!("no_server", "id" => request.id, "service" => service,
+                    "limited" => is_limited);
+                return tally.finish(shared, service);
             };
             tally.begin(&backend);
             calls.push(attempt(shared, request, backend));
@@ -163,7 +187,7 @@
             if now >= request.deadline {
                 event!("deadline", "id" => request.id, "runs" => tally.runs);
                 tally.unknown |= !calls.is_empty();
-                return tally.finish();
+                return tally.finish(shared, service);
             }
             tally.hedged = true;
             if let Some(backend) = shared.choose_server(service, &tally.tried)
@@ -191,7 +215,7 @@
                 let clearance = request.clearance(shared);
                 let is_cleared = matches!(clearance, Clearance::Clear | Clearance::Suspect);
                 if next == Decision::Stop || !is_cleared {
-                    return tally.finish();
+                    return tally.finish(shared, service);
                 }
                 if outcome == AttemptOutcome::NotRun
                     && tally.refusals.is_multiple_of(limits.servers.max(1))
@@ -205,6 +229,21 @@
     }
 }
 
+/// Waits until a server's limit leaves this instance a request, if that is by `patience`.
+///
+/// Returns whether it may have one now.
+async fn wait_for_permit(shared: &Shared, service: &str, patience: Boot) -> bool {
+    let now = Boot::now();
+    let Some(at) = shared.permit_at(service, now) else {
+        return false;
+    };
+    if at > patience || now >= patience {
+        return false;
+    }
+    sleep(at.left(now).max(PERMIT_WAIT_MIN)).await;
+    true
+}
+
 fn retry_limits(
     shared: &Shared,
     request: &RelayRequest<'_>,
@@ -237,11 +276,11 @@
         }
     }
 
-    fn finish(mut self) -> RelayOutcome {
+    fn finish(mut self, shared: &Shared, service: &str) -> RelayOutcome {
         match self.last.take() {
             Some(answer) => RelayOutcome::Answered(Box::new(answer)),
             None if self.unknown || self.runs > 0 => RelayOutcome::Unknown,
-            None => RelayOutcome::NotRun,
+            None => RelayOutcome::NotRun(shared.retry_after(service)),
         }
     }
 }
--- a/src/scheduler/item.rs
+++ b/src/scheduler/item.rs
@@ -309,7 +309,7 @@
             event!("score_failed", "item" => task.item.id, "scorer" => scorer.id,
                 "status" => answer.response.status().as_u16(), "failures" => failures.count());
         }
-        RelayOutcome::NotRun | RelayOutcome::Unknown => {
+        RelayOutcome::NotRun(_) | RelayOutcome::Unknown => {
             event!("score_missed", "item" => task.item.id, "scorer" => scorer.id);
         }
     }
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -426,11 +426,26 @@
                 handle.abort();
             }
         }
+        self.end_demands();
         self.save(true);
         self.wait_until_saved().await;
         leases::release(&self.shared);
     }
 
+    /// Leaves the limits of the servers of the services that this instance led to the next leader.
+    fn end_demands(&self) {
+        let Some(deployment) = self.shared.deployment() else {
+            return;
+        };
+        let mut limits = self.shared.limits.borrow_mut();
+        for (name, service) in &deployment.services {
+            if service.engine.is_some() {
+                limits.end_demand(name);
+            }
+        }
+        self.shared.demand_due.notify_one();
+    }
+
     /// Stops a run so that its item continues on another server, from the text so far.
     fn requeue(&self, key: &Key, reason: &str) {
         let run = self.runs.borrow_mut().remove(key);
--- a/src/scheduler/start.rs
+++ b/src/scheduler/start.rs
@@ -46,6 +46,7 @@
     let now = Boot::now();
     let wall = unix_ms();
     let fleet = scheduler.shared.fleet.borrow();
+    scheduler.shared.note_demand(service, now);
     let rate = scheduler.shared.warmup_rate(service);
     let (capacity, free) = capacity(scheduler, fleet.usable(service, now), rate, now);
     let mut allocator = SlotAllocator::new(free);
@@ -159,13 +160,16 @@
     };
     let servers: Vec<&Rc<Backend>> = usable.filter(accepts).collect();
     let load = &scheduler.shared.load;
+    let limits = &scheduler.shared.limits;
     let free = |backend: &&Rc<Backend>| {
         let slots = backend.slots.saturating_sub(load.running(&backend.id));
         // The rate limits every server: one may lose its caches and warm up again at any time, and
         // its report of that arrives late.
         let allowed =
             rate.map(|rate| load.recent(&backend.id, |recent| rate.remaining(recent, now)));
-        allowed.map_or(slots, |allowed| allowed.min(slots))
+        let slots = allowed.map_or(slots, |allowed| allowed.min(slots));
+        let permits = limits.borrow_mut().permits(backend, now);
+        permits.map_or(slots, |permits| whole(permits).min(slots))
     };
     let free = servers.iter().map(free).collect();
     let capacity = Capacity {
@@ -179,6 +183,16 @@
     (capacity, free)
 }
 
+fn whole(permits: f64) -> usize {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "permits are few and never negative"
+    )]
+    let whole = permits as usize;
+    whole
+}
+
 /// Candidates for items of a model, in the order of the servers.
 fn candidates<'a>(
     scheduler: &Scheduler,
--- a/src/scheduler/weights.rs
+++ b/src/scheduler/weights.rs
@@ -28,6 +28,8 @@
 const DEFAULT_LOAD_TIME: Duration = Duration::from_millis(800);
 /// Share of the expected load time after which polling starts.
 const FIRST_POLL_SHARE: f64 = 0.95;
+/// Calls that a load needs at once: the report and the order.
+const LOAD_CALLS: u32 = 2;
 /// Time between two polls of a server that is loading.
 const POLL_INTERVAL: Duration = Duration::from_millis(120);
 /// Time after which a load counts as failed and is ordered again.
@@ -180,7 +182,11 @@
         let model = scheduler.model_of(backend);
         let requested = requested.get(&model).copied().unwrap_or_default();
         servers.push(Loadable {
-            caution: caution(shared, &model, requested, wall),
+            caution: if shared.has_control_permits(backend, LOAD_CALLS) {
+                caution(shared, &model, requested, wall)
+            } else {
+                Caution::Wait
+            },
             version: scheduler.weights.version(backend, &model),
             requested,
             oldest_accepted: scheduler.oldest_accepted(&model).min(requested),
@@ -300,7 +306,7 @@
         if known.is_none_or(|known| known.born != backend.born) {
             return EndedSnafu.fail();
         }
-        if Boot::now() < first_poll {
+        if Boot::now() < first_poll || !shared.has_control_permits(backend, 1) {
             continue;
         }
         let report = self::report(shared, backend).await;
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod leases;
 mod ledger_state;
+mod limit;
 mod load;
 mod rounds;
 mod sample;
