Log the software versions of servers that streams are sent to

The registry's software version and a caller's Resumes and Last-Event-Id are decoded into types of ours. stream_send and item_start log the server's software, and what the request takes up or how many events the text has. Nothing acts on them yet.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -235,6 +235,8 @@
             time_left: Some(left),
             resume: None,
         };
+        event!("stream_send", "id" => id, "server" => backend.id, "software" => backend.software,
+            "take_up" => format!("{:?}", call.caller_request.take_up));
         let sent = Boot::now();
         let guard = SendGuard::new(shared, parts, &backend);
         let sending = call::send(shared, &backend, &outgoing, &added_headers);
--- a/src/instance/interfaces.rs
+++ b/src/instance/interfaces.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::Display;
+use derive_more::{AsRef, Display, From};
 use futures_util::future::LocalBoxFuture;
 use http::{HeaderMap, Request, request, response};
 use serde::{Deserialize, Serialize};
@@ -157,12 +157,21 @@
     pub slots: usize,
     /// Whether the server takes new requests.
     pub state: ServerState,
+    /// Version of the server's software; streams may not go on at another version.
+    pub software: Software,
     /// Weight version by model.
     pub weights: BTreeMap<String, u64>,
     /// When the warm-up ends.
     pub warm_at: Boot,
 }
 
+/// Version of a backend server's software.
+#[derive(
+    AsRef, Clone, Debug, Default, Deserialize, Display, Eq, From, Hash, PartialEq, Serialize,
+)]
+#[as_ref(str)]
+pub struct Software(pub String);
+
 /// Identifies one run of a backend server, from its start to its end.
 #[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[display("{id}@{born}")]
@@ -310,10 +319,21 @@
     pub key: Option<String>,
     /// How long the caller waits for an answer, if stated.
     pub caller_timeout: Option<Duration>,
+    /// Present if the request takes up a stream that broke off.
+    pub take_up: Option<TakeUp>,
     /// The requested operation.
     pub operation: Operation,
 }
 
+/// A caller's request to go on with a stream that broke off.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TakeUp {
+    /// Id of the attempt that brought the stream's first event, if stated.
+    pub origin: Option<String>,
+    /// Number of the last event that the caller received, if it is a number.
+    pub last: Option<u64>,
+}
+
 /// Header values that an instance adds to a request for a backend server.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamHeaders<'a> {
--- a/src/scheduler/start.rs
+++ b/src/scheduler/start.rs
@@ -113,6 +113,7 @@
         };
         let backend = Rc::clone(capacity.servers[server_at]);
         event!("item_start", "job" => job.record.id, "item" => item.id, "server" => backend.id,
+            "software" => backend.software, "events" => scheduler.drafts.event_count(&item.id),
             "spare" => waiting.spare);
         let prompt_server = key(job, &item.group);
         scheduler
--- a/tests/instance/fleet.rs
+++ b/tests/instance/fleet.rs
@@ -4,7 +4,7 @@
 
 use basillead::instance::contact::Contact;
 use basillead::instance::fleet::Fleet;
-use basillead::instance::interfaces::{Backend, ServerChange, ServerState};
+use basillead::instance::interfaces::{Backend, ServerChange, ServerState, Software};
 
 use crate::{at, ms};
 
@@ -17,6 +17,7 @@
         zone: "z".to_owned(),
         slots: 4,
         state,
+        software: Software::default(),
         weights: BTreeMap::new(),
         warm_at: at(0),
     }
--- a/tests/instance/limit.rs
+++ b/tests/instance/limit.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use basillead::instance::interfaces::{Backend, ServerState, StatedLimit};
+use basillead::instance::interfaces::{Backend, ServerState, Software, StatedLimit};
 use basillead::ledger::record::{DemandRecord, Incarnation};
 use basillead::relay::limit::{LimitChange, Limits};
 use rand::rngs::StdRng;
@@ -19,6 +19,7 @@
         zone: "z".to_owned(),
         slots: 4,
         state: ServerState::Ready,
+        software: Software::default(),
         weights: BTreeMap::new(),
         warm_at: at(0),
     }
