Take streams up only at the software version that began them (ORDER)

Cause: no part of the system knew the software version of a server, nor where a stream had begun; a take-up went to the cheapest server. The class: what must last was known to one process, or to none. Change: an instance records where each stream of a resumable route began, by the id of the caller's attempt, in the store. A take-up goes to servers of that version, found by a read of the log that was sent after the question, if this process didn't begin the stream. Streams move from gateway::forward to gateway::stream, unchanged but for this.

Evidence: the 6 order_take_ups_* failed before and pass.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -12,7 +12,7 @@
 use super::active::{ActiveBody, ActiveRequest};
 use super::admit::{Admitted, ConfigView, Denied, UNSURE_RETRY_AFTER, admit, tenant};
 use super::reply::{Body, retry_later, status};
-use super::{forward, jobs};
+use super::{forward, jobs, stream};
 use crate::boot::Boot;
 use crate::instance::Shared;
 use crate::instance::deployment::RequestKind;
@@ -156,7 +156,7 @@
         RequestKind::Idempotent | RequestKind::Once => {
             forward::plain(shared, &call, &admitted).await
         }
-        RequestKind::Stream { .. } => forward::stream(shared, &call, &admitted, timer).await,
+        RequestKind::Stream { .. } => stream::forward(shared, &call, &admitted, timer).await,
     };
     (name, response)
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,4 +9,5 @@
 pub mod listen;
 pub mod reply;
 pub mod stop;
+mod stream;
 pub mod suspect;
--- a/src/instance/deployment.rs
+++ b/src/instance/deployment.rs
@@ -124,6 +124,12 @@
 }
 
 impl Route {
+    /// Whether requests of the route may go to a service.
+    #[must_use]
+    pub fn has_target(&self, service: &str) -> bool {
+        self.targets.iter().any(|(target, _)| target == service)
+    }
+
     /// Picks a service at random by weight, given a random number `draw` in `0..1`.
     #[must_use]
     pub fn target(&self, draw: f64) -> &str {
--- a/src/instance/interfaces.rs
+++ b/src/instance/interfaces.rs
@@ -76,6 +76,8 @@
     /// Demands for servers that limit all instances together; followed by the instances that have
     /// such demands.
     Demands,
+    /// Where callers' streams began, by partition; read when a stream is taken up.
+    Streams(u32),
     /// Contents of jobs and texts of results; read on demand by offset.
     Payloads,
     /// Unfinished texts; read by an instance that becomes a service's leader.
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -15,6 +15,7 @@
 pub mod interfaces;
 pub mod leases;
 pub mod metrics;
+pub mod origins;
 pub mod payloads;
 pub mod run;
 pub mod settings;
@@ -45,8 +46,11 @@
 use events::event;
 use fleet::Fleet;
 use interest::Interest;
-use interfaces::{Backend, Codec, LeaseHolder, PlatformApi, ServerProcess, StatedLimit, Store};
+use interfaces::{
+    Backend, Codec, LeaseHolder, PlatformApi, ServerProcess, Software, StatedLimit, Store,
+};
 use metrics::Metrics;
+use origins::StreamLog;
 use payloads::Payloads;
 use settings::InstanceSettings;
 
@@ -123,6 +127,8 @@
     pub demand_writer: Writer,
     /// Appends to the log of counters.
     pub counter_writer: Writer,
+    /// Where callers' streams began.
+    pub streams: StreamLog,
     /// Contents of jobs and texts of results.
     pub payloads: Payloads,
     /// Appends to the log of drafts.
@@ -225,11 +231,19 @@
     }
 
     /// Chooses a server for a plain request, preferring servers that are not in `tried`.
+    ///
+    /// Only servers with this `software` are chosen, if it is given.
     #[must_use]
-    pub fn choose_server(&self, service: &str, tried: &HashSet<String>) -> Option<Rc<Backend>> {
+    pub fn choose_server(
+        &self,
+        service: &str,
+        tried: &HashSet<String>,
+        software: Option<&Software>,
+    ) -> Option<Rc<Backend>> {
         let now = Boot::now();
         let fleet = self.fleet.borrow();
-        let mut usable: Vec<&Rc<Backend>> = fleet.usable(service, now).collect();
+        let fits = |backend: &&Rc<Backend>| software.is_none_or(|known| *known == backend.software);
+        let mut usable: Vec<&Rc<Backend>> = fleet.usable(service, now).filter(fits).collect();
         self.exclude_warming(service, &mut usable, now);
         self.exclude_limited(service, &mut usable, now);
         let candidate = |backend: &&Rc<Backend>| Candidate {
--- a/src/instance/run.rs
+++ b/src/instance/run.rs
@@ -16,6 +16,7 @@
 use super::interest::Interest;
 use super::interfaces::{Codec, Log, PlatformApi, Store};
 use super::metrics::Metrics;
+use super::origins::StreamLog;
 use super::payloads::Payloads;
 use super::settings::InstanceSettings;
 use super::{Contacts, Shared, counters, demands, directory, follow, heartbeats, leases};
@@ -116,6 +117,7 @@
         &shared.heartbeat_writer,
         &shared.counter_writer,
         &shared.demand_writer,
+        &shared.streams.writer,
         &shared.payloads.writer,
         &shared.draft_writer,
     ];
@@ -163,6 +165,7 @@
         demand_writer: Writer::new(Log::Demands, settings.record_bytes),
         payloads: Payloads::new(Writer::new(Log::Payloads, settings.record_bytes)),
         draft_writer: Writer::new(Log::Drafts, settings.record_bytes),
+        streams: StreamLog::new(&settings),
         settings,
         limits: RefCell::new(Limits::new(incarnation.clone())),
         incarnation,
@@ -236,6 +239,7 @@
         let mut ledger = shared.ledger.borrow_mut();
         ledger.jobs.prune(unix_ms(), retention);
         ledger.crashes.prune(unix_ms());
+        shared.streams.origins.borrow_mut().prune(Boot::now());
         let seen = shared
             .contacts
             .borrow()
@@ -294,6 +298,7 @@
         &shared.job_writer,
         &shared.payloads.writer,
         &shared.counter_writer,
+        &shared.streams.writer,
     ];
     shared.in_flight.get() == 0 && writers.into_iter().all(Writer::is_idle)
 }
--- a/src/ledger/mod.rs
+++ b/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 pub mod drafts;
 pub mod instances;
 pub mod lease;
+pub mod origins;
 pub mod record;
 pub mod state;
 pub mod write_times;
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::instance::events::event;
-use crate::instance::interfaces::ServerProcess;
+use crate::instance::interfaces::{ServerProcess, Software};
 use crate::job::{Content, ItemResult, JobRecord};
 use crate::names::Fingerprint;
 
@@ -109,6 +109,17 @@
     pub versions: Vec<u64>,
 }
 
+/// Where a caller's stream began; a record of the log of streams.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct StreamRecord {
+    /// Id of the caller's attempt that began the stream.
+    pub stream: String,
+    /// The service.
+    pub service: String,
+    /// Version of the software of the server that began the stream.
+    pub software: Software,
+}
+
 /// A record of the payload log, for data too large for every instance to read.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Payload {
--- a/src/relay/retry.rs
+++ b/src/relay/retry.rs
@@ -159,7 +159,7 @@
     loop {
         let now = Boot::now();
         if calls.is_empty() {
-            let Some(backend) = shared.choose_server(service, &tally.tried) else {
+            let Some(backend) = shared.choose_server(service, &tally.tried, None) else {
                 if wait_for_permit(shared, service, patience).await {
                     continue;
                 }
@@ -190,7 +190,7 @@
                 return tally.finish(shared, service);
             }
             tally.hedged = true;
-            if let Some(backend) = shared.choose_server(service, &tally.tried)
+            if let Some(backend) = shared.choose_server(service, &tally.tried, None)
                 && !tally.tried.contains(&backend.id)
             {
                 event!("hedge", "id" => request.id, "server" => backend.id);
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -9,6 +9,7 @@
 mod ledger_state;
 mod limit;
 mod load;
+mod origins;
 mod rounds;
 mod sample;
 mod stop;
