--- a/src/job/placement.rs
+++ b/src/job/placement.rs
@@ -29,22 +29,48 @@
     pub pace: f64,
     /// Whether the server is assigned to another model.
     pub other_model: bool,
+    /// Version of the server's software.
+    pub software: &'a str,
+}
+
+/// What an item needs of its server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Needs<'a> {
+    /// The server that last got an item of the same group, if any.
+    pub prompt_server: Option<&'a str>,
+    /// Oldest weight version that may generate the item.
+    pub min_version: u64,
+    /// Software version that generated the item's text so far; on another one it starts anew.
+    pub software: Option<&'a str>,
+    /// Whether the item waits rather than starting its text anew.
+    pub waits: bool,
 }
 
 /// Chooses the server for an item and returns its position in `candidates`.
 ///
-/// `prompt_server` is the server that last got an item of the same group, if any. Only servers
-/// with a free slot and weights of `min_version` or newer are chosen.
+/// Only servers with a free slot and recent enough weights are chosen, and among them those on which
+/// the item's text can go on, if there is one.
 #[must_use]
-pub fn place(
+pub fn place(candidates: &[Candidate<'_>], needs: Needs<'_>) -> Option<usize> {
+    let Some(software) = needs.software else {
+        return place_among(candidates, needs, |_| true);
+    };
+    let goes_on = |candidate: &Candidate<'_>| candidate.software == software;
+    let anew = || place_among(candidates, needs, |_| !needs.waits);
+    place_among(candidates, needs, goes_on).or_else(anew)
+}
+
+fn place_among(
     candidates: &[Candidate<'_>],
-    prompt_server: Option<&str>,
-    min_version: u64,
+    needs: Needs<'_>,
+    is_eligible: impl Fn(&Candidate<'_>) -> bool,
 ) -> Option<usize> {
-    let fits = |candidate: &Candidate<'_>| candidate.free > 0 && candidate.version >= min_version;
+    let fits = |candidate: &Candidate<'_>| {
+        candidate.free > 0 && candidate.version >= needs.min_version && is_eligible(candidate)
+    };
     let preferred = candidates
         .iter()
-        .position(|candidate| Some(candidate.id) == prompt_server);
+        .position(|candidate| Some(candidate.id) == needs.prompt_server);
     if let Some(at) =
         preferred.filter(|at| fits(&candidates[*at]) && candidates[*at].pace < SLOW_PACE)
     {
@@ -84,15 +110,14 @@
     pub fn take(
         &mut self,
         model: &str,
-        prompt_server: Option<&str>,
-        min_version: u64,
+        needs: Needs<'_>,
         candidates: impl FnOnce(&[usize]) -> Vec<Candidate<'a>>,
     ) -> Option<usize> {
         if !self.candidates.contains_key(model) {
             self.candidates
                 .insert(model.to_owned(), candidates(&self.free));
         }
-        let at = place(self.candidates.get(model)?, prompt_server, min_version)?;
+        let at = place(self.candidates.get(model)?, needs)?;
         self.free[at] = self.free[at].saturating_sub(1);
         for candidates in self.candidates.values_mut() {
             candidates[at].free = self.free[at];
--- a/src/ledger/drafts.rs
+++ b/src/ledger/drafts.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use super::record::DraftPart;
+use crate::instance::interfaces::Software;
 
 /// The partial text of an item.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -15,6 +16,8 @@
     pub last: u64,
     /// Weight versions that generated the text.
     pub versions: Vec<u64>,
+    /// Version of the software that generated the text, if known.
+    pub software: Option<Software>,
 }
 
 /// Partial texts by item.
@@ -28,8 +31,11 @@
     /// leader never mixes with the parts of its successor.
     pub fn save(&mut self, part: DraftPart) {
         let known = self.0.get(&part.item);
-        let follows =
-            known.is_some_and(|saved| saved.fence == part.fence && saved.data.len() == part.from);
+        let follows = known.is_some_and(|saved| {
+            saved.fence == part.fence
+                && saved.data.len() == part.from
+                && saved.software == part.software
+        });
         if part.from == 0 {
             if known.is_some_and(|saved| saved.fence > part.fence) {
                 return;
@@ -43,6 +49,13 @@
         saved.data.extend(part.data);
         saved.last = part.last;
         saved.versions = part.versions;
+        saved.software = part.software;
+    }
+
+    /// The partial text of an item.
+    #[must_use]
+    pub fn get(&self, item: &str) -> Option<&PartialText> {
+        self.0.get(item)
     }
 
     /// Removes and returns the partial text of an item.
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -107,6 +107,9 @@
     pub last: u64,
     /// Weight versions that generated the text so far.
     pub versions: Vec<u64>,
+    /// Version of the software that generated the text, if known.
+    #[serde(default)]
+    pub software: Option<Software>,
 }
 
 /// Where a caller's stream began; a record of the log of streams.
--- a/src/scheduler/drafts.rs
+++ b/src/scheduler/drafts.rs
@@ -11,7 +11,7 @@
 use super::sample::{Sample, VersionPolicy};
 use crate::boot::Boot;
 use crate::instance::events::event;
-use crate::instance::interfaces::Backend;
+use crate::instance::interfaces::{Backend, Software};
 use crate::job::{Extent, ItemEnd, ItemResult};
 use crate::ledger::drafts::{PartialText, PartialTexts};
 use crate::ledger::record::{self, JobEvent};
@@ -20,6 +20,8 @@
 const REFUSED_COOLDOWN: Duration = Duration::from_millis(120);
 /// Time for which a server gets no items after a run on it broke off.
 const BROKEN_COOLDOWN: Duration = Duration::from_millis(1500);
+/// Longest time that an item waits for a slot at the software version that generated its text.
+const SOFTWARE_PATIENCE: Duration = Duration::from_millis(2500);
 /// Time for which an unfinished text is kept for a job that resubmits the item.
 const DRAFT_TTL: Duration = Duration::from_secs(30);
 
@@ -97,6 +99,18 @@
         })
     }
 
+    /// Version of the software that generated events of an item, if there are any.
+    fn software(&self, item: &str) -> Option<Software> {
+        let drafts = self.0.borrow();
+        let sample = drafts.get(item)?.sample.borrow();
+        sample.software.clone().filter(|_| !sample.data.is_empty())
+    }
+
+    /// When the last run of an item ended.
+    fn used(&self, item: &str) -> Option<Boot> {
+        self.0.borrow().get(item).map(|draft| draft.used.get())
+    }
+
     /// Number of events generated for an item so far.
     pub(super) fn event_count(&self, item: &str) -> usize {
         let drafts = self.0.borrow();
@@ -145,6 +159,7 @@
                 data: saved.data,
                 last: Some(saved.last),
                 versions: saved.versions,
+                software: saved.software,
                 saved: 0,
             };
         }
@@ -168,9 +183,19 @@
             data: sample.data[from..].to_vec(),
             last,
             versions: sample.versions.clone(),
+            software: sample.software.clone(),
         })
     }
 
+    /// Prepares the text for a run at a software version: events of another version are dropped.
+    fn go_on_at(&self, software: &Software) {
+        let is_same = self.sample.borrow().software.as_ref() == Some(software);
+        if !is_same {
+            self.restart();
+            self.sample.borrow_mut().software = Some(software.clone());
+        }
+    }
+
     fn restart(&self) {
         self.sample.replace(Sample::default());
         self.complete.set(false);
@@ -192,6 +217,7 @@
         draft.restart();
     }
     if !draft.complete.get() {
+        draft.go_on_at(&backend.software);
         let end = item::run(&scheduler.shared, task, backend, &draft.sample, scheduler).await;
         scheduler
             .shared
@@ -264,6 +290,30 @@
 }
 
 impl Scheduler {
+    /// Whether an item waits for a slot at the software version that generated its text so far.
+    ///
+    /// It does for a while if servers of that version serve: they may only be full, or not be used
+    /// since a run broke off.
+    pub(super) fn waits_for_software(
+        &self,
+        item: &str,
+        service: &str,
+        software: &Software,
+        now: Boot,
+    ) -> bool {
+        let ended = self.drafts.used(item).unwrap_or(self.saved_at.get());
+        let fleet = self.shared.fleet.borrow();
+        let mut usable = fleet.usable(service, now);
+        now < ended + SOFTWARE_PATIENCE && usable.any(|backend| backend.software == *software)
+    }
+
+    /// Version of the software that generated an item's text so far, here or under a former leader.
+    pub(super) fn text_software(&self, item: &str) -> Option<Software> {
+        let saved = self.saved_drafts.borrow();
+        let saved = || saved.get(item).and_then(|saved| saved.software.clone());
+        self.drafts.software(item).or_else(saved)
+    }
+
     fn has_ended(&self, job: &str) -> bool {
         let ledger = self.shared.ledger.borrow();
         ledger.jobs.get(job).is_none_or(|job| job.ended)
--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -97,6 +97,8 @@
     prompt_servers: RefCell<HashMap<Key, String>>,
     /// Unfinished texts of a former leader that no run has continued yet.
     saved_drafts: RefCell<PartialTexts>,
+    /// When those texts were read.
+    saved_at: Cell<Boot>,
     /// Progress of reading a former leader's unfinished texts, by service.
     takeovers: RefCell<HashMap<String, Takeover>>,
     /// When unfinished texts were last saved and deleted.
@@ -125,6 +127,7 @@
             server_states: RefCell::default(),
             prompt_servers: RefCell::default(),
             saved_drafts: RefCell::default(),
+            saved_at: Cell::default(),
             takeovers: RefCell::default(),
             saving: RefCell::default(),
             renewed: RefCell::default(),
--- a/src/scheduler/move_plan.rs
+++ b/src/scheduler/move_plan.rs
@@ -6,7 +6,7 @@
 use super::move_policy::{RunningItem, Target, items_to_move, reserve_all, reserve_slot};
 use super::{Key, Scheduler};
 use crate::boot::Boot;
-use crate::instance::interfaces::Backend;
+use crate::instance::interfaces::{Backend, Software};
 use crate::job::placement::SLOW_PACE;
 
 /// Running items of a service, and the servers that they may move to.
@@ -54,6 +54,7 @@
                 free,
                 pace: *pace,
                 versions,
+                software: software_index(&usable, &backend.software),
             });
             plan.target_ids.push(backend.id.clone());
         }
@@ -91,6 +92,7 @@
                 remaining: item
                     .and_then(|item| scheduler.remaining(job, item))
                     .unwrap_or(DEFAULT_REMAINING),
+                software: Some(software_index(usable, &usable[at].software)),
             });
         }
     }
@@ -101,6 +103,7 @@
             return;
         };
         self.items[at].min_version = min;
+        self.items[at].software = None;
         if reserve_slot(&mut self.targets, &self.items[at], SLOW_PACE) {
             scheduler.renewed.borrow_mut().insert(key.clone(), min);
             scheduler.requeue(key, "newer weights");
@@ -127,6 +130,14 @@
     }
 }
 
+/// Index of a software version: the position of the first server with it.
+fn software_index(usable: &[&Rc<Backend>], software: &Software) -> usize {
+    let with_it = usable
+        .iter()
+        .position(|backend| backend.software == *software);
+    with_it.unwrap_or(usable.len())
+}
+
 /// Maps the models that the servers are assigned to to their indices in [`Target::versions`].
 fn models(scheduler: &Scheduler, usable: &[&Rc<Backend>]) -> HashMap<String, usize> {
     let mut models = HashMap::new();
--- a/src/scheduler/move_policy.rs
+++ b/src/scheduler/move_policy.rs
@@ -34,6 +34,8 @@
     pub model: usize,
     /// Estimate of the events that the item still needs.
     pub remaining: f64,
+    /// Index of the software version at which the item's text goes on; none if it starts anew.
+    pub software: Option<usize>,
 }
 
 impl RunningItem {
@@ -54,6 +56,8 @@
     pub pace: f64,
     /// Weight version by model index; 0 if the server is not assigned to the model.
     pub versions: Vec<u64>,
+    /// Index of the server's software version.
+    pub software: usize,
 }
 
 /// Takes a slot of the fastest suitable target whose pace is at most `max_pace`; returns
@@ -61,7 +65,10 @@
 pub fn reserve_slot(targets: &mut [Target], item: &RunningItem, max_pace: f64) -> bool {
     let fits = |target: &&mut Target| {
         let version = target.versions.get(item.model).copied().unwrap_or_default();
-        target.free > 0 && target.pace <= max_pace && version >= item.min_version.max(1)
+        let goes_on = item
+            .software
+            .is_none_or(|software| software == target.software);
+        target.free > 0 && target.pace <= max_pace && version >= item.min_version.max(1) && goes_on
     };
     let best = targets
         .iter_mut()
--- a/src/scheduler/sample.rs
+++ b/src/scheduler/sample.rs
@@ -1,6 +1,7 @@
 //! An unfinished sample: its text so far, and the weight versions that generated it.
 
 use super::event_stream::Event;
+use crate::instance::interfaces::Software;
 
 /// Text of an item so far, possibly from several servers and weight versions.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -11,6 +12,8 @@
     pub last: Option<u64>,
     /// Distinct weight versions, in the order of their first event.
     pub versions: Vec<u64>,
+    /// Version of the software that generates the text.
+    pub software: Option<Software>,
     /// Number of events that are saved in the log of drafts.
     pub saved: usize,
 }
--- a/src/scheduler/start.rs
+++ b/src/scheduler/start.rs
@@ -13,13 +13,14 @@
 use crate::instance::interfaces::Backend;
 use crate::instance::payloads;
 use crate::job::order::{Waiting, queue};
-use crate::job::placement::{Candidate, SlotAllocator};
+use crate::job::placement::{Candidate, Needs, SlotAllocator};
 use crate::job::{Content, Job};
 use crate::relay::warmup::WarmupRate;
 use crate::util::{millis, unix_ms};
 
 /// Servers that accept items, with their relative paces and assigned models, by position.
 struct Capacity<'a> {
+    service: &'a str,
     servers: Vec<&'a Rc<Backend>>,
     paces: Vec<f64>,
     models: Vec<String>,
@@ -48,7 +49,8 @@
     let fleet = scheduler.shared.fleet.borrow();
     scheduler.shared.note_demand(service, now);
     let rate = scheduler.shared.warmup_rate(service);
-    let (capacity, free) = capacity(scheduler, fleet.usable(service, now), rate, now);
+    let usable = fleet.usable(service, now);
+    let (capacity, free) = capacity(scheduler, service, usable, rate, now);
     let mut allocator = SlotAllocator::new(free);
     for waiting in waiting {
         let job = waiting.job;
@@ -152,6 +154,7 @@
 /// Servers that accept items, and their free slots.
 fn capacity<'a>(
     scheduler: &Scheduler,
+    service: &'a str,
     usable: impl Iterator<Item = &'a Rc<Backend>>,
     rate: Option<WarmupRate>,
     now: Boot,
@@ -174,6 +177,7 @@
     };
     let free = servers.iter().map(free).collect();
     let capacity = Capacity {
+        service,
         paces: scheduler.paces(&servers, now).0,
         models: servers
             .iter()
@@ -208,6 +212,7 @@
         version: scheduler.weights.version(capacity.servers[at], model),
         pace: capacity.paces[at],
         other_model: capacity.models[at] != *model,
+        software: capacity.servers[at].software.as_ref(),
     };
     (0..capacity.servers.len()).map(candidate).collect()
 }
@@ -227,7 +232,18 @@
     let prompt_server = prompt_servers
         .get(&key(job, &job.record.items[item_at].group))
         .map(String::as_str);
-    allocator.take(model, prompt_server, min_version, |free| {
+    let item = &job.record.items[item_at].id;
+    let software = scheduler.text_software(item);
+    let waits = software.as_ref().is_some_and(|software| {
+        scheduler.waits_for_software(item, capacity.service, software, Boot::now())
+    });
+    let needs = Needs {
+        prompt_server,
+        min_version,
+        software: software.as_ref().map(AsRef::as_ref),
+        waits,
+    };
+    allocator.take(model, needs, |free| {
         candidates(scheduler, capacity, free, model)
     })
 }
--- a/src/scheduler/takeover.rs
+++ b/src/scheduler/takeover.rs
@@ -91,6 +91,7 @@
             event!("drafts_read", "service" => service, "fence" => fence, "whole" => read.is_ok(),
                 "items" => saved.len(), "took_ms" => took);
             scheduler.saved_drafts.replace(saved);
+            scheduler.saved_at.set(Boot::now());
             let mut takeovers = scheduler.takeovers.borrow_mut();
             takeovers.insert(service, Takeover::Done(fence));
             scheduler.shared.state_changed.notify_waiters();
--- a/tests/instance/drafts.rs
+++ b/tests/instance/drafts.rs
@@ -17,6 +17,7 @@
         data: data.iter().map(|&data| data.to_owned()).collect(),
         last: (from + data.len()) as u64,
         versions: versions.to_vec(),
+        software: None,
     }
 }
 
@@ -50,6 +51,23 @@
     assert_eq!((saved.data.len(), saved.versions), (1, vec![3]));
 }
 
+/// What two software versions write doesn't fit together.
+#[test]
+fn drafts_of_another_software_version() {
+    let mut drafts = PartialTexts::default();
+    let of = |software: &str, part| DraftPart {
+        software: Some(software.to_owned().into()),
+        ..part
+    };
+    drafts.save(of("v1", part(1, 0, &["one", "two"], &[1])));
+    drafts.save(of("v2", part(1, 2, &["three"], &[1])));
+    assert_eq!(drafts.get("a").map(|saved| saved.data.len()), Some(2));
+    drafts.save(of("v2", part(1, 0, &["anew"], &[1])));
+    let saved = drafts.take("a").expect("a saved text");
+    assert_eq!(saved.data, ["anew"]);
+    assert_eq!(saved.software, Some("v2".to_owned().into()));
+}
+
 #[test]
 fn drafts_former_leader_late() {
     let mut drafts = PartialTexts::default();
--- a/tests/instance/rounds.rs
+++ b/tests/instance/rounds.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use basillead::job::order::queue;
-use basillead::job::placement::{Candidate, SlotAllocator, place};
+use basillead::job::placement::{Candidate, Needs, SlotAllocator, place};
 use basillead::job::{Item, Jobs};
 use basillead::scheduler::assign::{Assignable, assign, quotas};
 use basillead::scheduler::load_policy::{Caution, Loadable, max_concurrent_loads, next_loads};
@@ -130,31 +130,67 @@
         version: 3,
         pace,
         other_model: false,
+        software: "v1",
     }
 }
 
+fn needs(prompt_server: Option<&str>, min_version: u64) -> Needs<'_> {
+    Needs {
+        prompt_server,
+        min_version,
+        software: None,
+        waits: false,
+    }
+}
+
+/// Servers of two software versions: a text can't go on at the other version.
+#[test]
+fn place_where_the_text_goes_on() {
+    let newer = |free| Candidate {
+        software: "v2",
+        ..candidate("b", free, 1.0)
+    };
+    let goes_on = Needs {
+        software: Some("v2"),
+        ..needs(Some("a"), 3)
+    };
+    let full = [candidate("a", 8, 1.0), newer(1)];
+    assert_eq!(
+        place(&full, goes_on),
+        Some(1),
+        "the only free slot at its version"
+    );
+    let none_free = [candidate("a", 8, 1.0), newer(0)];
+    assert_eq!(place(&none_free, goes_on), Some(0), "the text starts anew");
+    let waits = Needs {
+        waits: true,
+        ..goes_on
+    };
+    assert_eq!(place(&none_free, waits), None);
+}
+
 #[test]
 fn place_shared_prompt_unless_slow() {
     let candidates = [candidate("a", 8, 1.0), candidate("b", 2, 1.0)];
     assert_eq!(
-        place(&candidates, Some("b"), 3),
+        place(&candidates, needs(Some("b"), 3)),
         Some(1),
         "the server has already processed the group's prompt"
     );
-    assert_eq!(place(&candidates, None, 3), Some(0));
+    assert_eq!(place(&candidates, needs(None, 3)), Some(0));
     let candidates = [candidate("a", 1, 1.0), candidate("b", 8, 3.5)];
     assert_eq!(
-        place(&candidates, Some("b"), 3),
+        place(&candidates, needs(Some("b"), 3)),
         Some(0),
         "a slow server gets no items, even with the prompt"
     );
-    assert_eq!(place(&candidates, None, 4), None, "weights too old");
+    assert_eq!(place(&candidates, needs(None, 4)), None, "weights too old");
     let other_model = Candidate {
         other_model: true,
         ..candidate("a", 8, 1.0)
     };
     assert_eq!(
-        place(&[other_model, candidate("b", 1, 1.0)], None, 3),
+        place(&[other_model, candidate("b", 1, 1.0)], needs(None, 3)),
         Some(1)
     );
 }
@@ -174,7 +210,11 @@
     let mut taken = 0;
     for model in ["m", "n", "m", "n", "o", "m"] {
         for _ in 0..10 {
-            taken += usize::from(allocator.take(model, None, 0, candidates).is_some());
+            taken += usize::from(
+                allocator
+                    .take(model, Needs::default(), candidates)
+                    .is_some(),
+            );
         }
     }
     assert_eq!(taken, 6, "items on a server with six free slots");
@@ -329,6 +369,7 @@
         min_version: 3,
         model: 0,
         remaining: 10.0,
+        software: Some(0),
     }
 }
 
@@ -337,6 +378,7 @@
         free,
         pace,
         versions: vec![3],
+        software: 0,
     }
 }
 
@@ -446,6 +488,14 @@
         "the slowest first, but not the item that has just started there"
     );
     assert!(items_to_move(&items, &mut [target(0, 1.0)], EVENT, at(1000)).is_empty());
+    let other = Target {
+        software: 1,
+        ..target(4, 1.0)
+    };
+    assert!(
+        items_to_move(&items, &mut [other], EVENT, at(1000)).is_empty(),
+        "the texts would start anew at another software version"
+    );
     let old = Target {
         versions: vec![2],
         ..target(4, 1.0)
