--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -173,8 +173,14 @@
         }
     };
     let now = Boot::now();
-    let longest = shared.durations.longest(&admitted.route.name, now);
-    !shared.is_closing() && schedule.accepts(deadline, longest, now)
+    let usual = match admitted.route.kind {
+        // A caller can send these again if they turn slow.
+        RequestKind::Idempotent | RequestKind::Rollout => {
+            shared.durations.longest(&admitted.route.name, now)
+        }
+        RequestKind::Once | RequestKind::Stream { .. } => None,
+    };
+    !shared.is_closing() && schedule.accepts(deadline, usual, now)
 }
 
 /// Handles a call on an existing job; none if the request is no such call or a route matches it.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -44,7 +44,7 @@
     ///
     /// It is accepted if it ends by `deadline` in time, or if the route's requests took at most
     /// half of the time left lately. `longest` is the duration of the longest of them, if enough
-    /// are known.
+    /// are known and the request may be repeated: any request may turn slower than those before.
     #[must_use]
     pub fn accepts(self, deadline: Boot, longest: Option<Duration>, now: Boot) -> bool {
         let fits = |longest| now + longest * DURATION_FACTOR <= self.answer_by;
