Let an item wait for its software version about as long as its text took

With two versions in service, a text that broke off waited up to 2.5 s for a slot at its version, also if it had few events.

--- a/src/scheduler/drafts.rs
+++ b/src/scheduler/drafts.rs
@@ -20,8 +20,10 @@
 const REFUSED_COOLDOWN: Duration = Duration::from_millis(120);
 /// Time for which a server gets no items after a run on it broke off.
 const BROKEN_COOLDOWN: Duration = Duration::from_millis(1500);
+/// Time in which an engine generates an event.
+const EVENT_TIME: Duration = Duration::from_millis(50);
 /// Longest time that an item waits for a slot at the software version that generated its text.
-const SOFTWARE_PATIENCE: Duration = Duration::from_millis(2500);
+const SOFTWARE_PATIENCE_MAX: Duration = Duration::from_millis(2500);
 /// Time for which an unfinished text is kept for a job that resubmits the item.
 const DRAFT_TTL: Duration = Duration::from_secs(30);
 
@@ -289,6 +291,13 @@
     false
 }
 
+/// Longest time that an item waits for the software version that generated `events` events of it:
+/// about the time in which they would be generated anew.
+fn software_patience(events: usize) -> Duration {
+    let events = u32::try_from(events).unwrap_or(u32::MAX);
+    EVENT_TIME.saturating_mul(events).min(SOFTWARE_PATIENCE_MAX)
+}
+
 impl Scheduler {
     /// Whether an item waits for a slot at the software version that generated its text so far.
     ///
@@ -302,9 +311,12 @@
         now: Boot,
     ) -> bool {
         let ended = self.drafts.used(item).unwrap_or(self.saved_at.get());
+        let saved = self.saved_drafts.borrow();
+        let saved = saved.get(item).map_or(0, |saved| saved.data.len());
+        let patience = software_patience(self.drafts.event_count(item).max(saved));
         let fleet = self.shared.fleet.borrow();
         let mut usable = fleet.usable(service, now);
-        now < ended + SOFTWARE_PATIENCE && usable.any(|backend| backend.software == *software)
+        now < ended + patience && usable.any(|backend| backend.software == *software)
     }
 
     /// Version of the software that generated an item's text so far, here or under a former leader.
