--- a/src/relay/limit.rs
+++ b/src/relay/limit.rs
@@ -5,14 +5,14 @@
 //! request was sent after the last answer with one had arrived. What one instance hears, the
 //! others learn from the ledger. Each instance keeps to its part of a limit ([`Demands::part`]).
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
+use super::demand::OwnDemand;
 use crate::boot::Boot;
 use crate::instance::interfaces::{Backend, ServerProcess, StatedLimit};
 use crate::ledger::demand::{Demands, Part};
 use crate::ledger::record::{DemandRecord, Incarnation};
-use crate::util::millis;
 
 /// Lowest rate that is kept to, in requests per second.
 ///
@@ -35,21 +35,6 @@
 const BLIND_SHARE: f64 = 0.3;
 /// Time between two computations of an instance's part of a limit.
 const PART_TTL: Duration = Duration::from_millis(250);
-/// Period over which an instance's demand is counted.
-const DEMAND_PERIOD: Duration = Duration::from_secs(10);
-/// Factor between two neighbouring demands.
-const DEMAND_STEP: u32 = 4;
-/// Shortest time between two records of an instance's demand.
-const RENEWAL_MIN: Duration = Duration::from_millis(800);
-/// Longest time between two records of an instance's demand.
-const RENEWAL_MAX: Duration = Duration::from_secs(3);
-/// Shortest time between two records if the demand rises.
-const RAISE_MIN: Duration = Duration::from_millis(250);
-/// Time budgeted per instance for one append to the shared log.
-const APPEND_BUDGET: Duration = Duration::from_millis(10);
-/// Intervals between records for which a record is valid.
-const VALID_INTERVALS: u32 = 4;
-
 /// What is known of the limit of one server process.
 #[derive(Clone, Debug)]
 struct ServerLimit {
@@ -102,17 +87,9 @@
     own: Incarnation,
     servers: HashMap<ServerProcess, ServerLimit>,
     demands: Demands,
-    /// Recent requests by service, with their times.
-    wanted: HashMap<String, VecDeque<Boot>>,
-    /// The latest own record of the demand, and when it was made.
-    written: Option<(DemandRecord, Boot)>,
-    /// Number of records so far.
-    records: u64,
+    own_demand: OwnDemand,
 }
 
-/// Largest number of recent requests that are counted for a service.
-const WANTED_MAX: usize = 4096;
-
 impl ServerLimit {
     fn new(service: &str, now: Boot) -> Self {
         Self {
@@ -181,9 +158,7 @@
             own,
             servers: HashMap::new(),
             demands: Demands::default(),
-            wanted: HashMap::new(),
-            written: None,
-            records: 0,
+            own_demand: OwnDemand::default(),
         }
     }
 
@@ -275,7 +250,7 @@
     /// Whether this instance deletes old records of the demand log.
     #[must_use]
     pub fn is_trimmer(&self) -> bool {
-        self.written.is_some() && self.demands.is_first(&self.own)
+        self.own_demand.is_written() && self.demands.is_first(&self.own)
     }
 
     fn expire_parts(&mut self, now: Boot) {
@@ -359,97 +334,36 @@
 
     /// Counts a request to a service; returns whether the demand must be written now.
     pub fn want(&mut self, service: &str, now: Boot) -> bool {
-        if !self.wanted.contains_key(service) {
-            self.wanted.insert(service.to_owned(), VecDeque::new());
-        }
-        if let Some(wanted) = self.wanted.get_mut(service) {
-            if wanted.len() >= WANTED_MAX {
-                wanted.pop_front();
-            }
-            wanted.push_back(now);
-        }
-        let written = self.written.as_ref();
-        let has_demand = written.is_some_and(|(record, _)| record.demands.contains_key(service));
-        !has_demand && self.is_limited(service)
+        self.own_demand.note(service, now);
+        !self.own_demand.includes(service) && self.is_limited(service)
     }
 
     /// Ends the demand for a service, which another instance takes over.
     pub fn end_demand(&mut self, service: &str) {
-        self.wanted.remove(service);
-    }
-
-    /// The demand for each service that has a server with a limit.
-    fn current_demands(&mut self, now: Boot) -> BTreeMap<String, u32> {
-        for wanted in self.wanted.values_mut() {
-            while wanted.front().is_some_and(|at| *at + DEMAND_PERIOD < now) {
-                wanted.pop_front();
-            }
-        }
-        self.wanted.retain(|_, wanted| !wanted.is_empty());
-        let written = self.written.as_ref().map(|(record, _)| &record.demands);
-        let limited = self.wanted.iter().filter(|(name, _)| self.is_limited(name));
-        limited
-            .map(|(service, wanted)| {
-                let count = u32::try_from(wanted.len()).unwrap_or(u32::MAX);
-                let before = written.and_then(|written| written.get(service));
-                (service.clone(), rounded_demand(count, before.copied()))
-            })
-            .collect()
+        self.own_demand.end(service);
     }
 
     /// The record of this instance's demand that is due at `now`, if any; counts it as written.
     pub fn due(&mut self, now: Boot) -> Option<DemandRecord> {
-        let demands = self.current_demands(now);
-        let interval = self.renewal_interval();
-        if let Some((record, at)) = &self.written {
-            let rises = demands
-                .iter()
-                .any(|(service, demand)| record.demands.get(service) < Some(demand));
-            let is_over = record
-                .demands
-                .keys()
-                .any(|service| !demands.contains_key(service));
-            let is_due = if rises || is_over {
-                now >= *at + RAISE_MIN
-            } else {
-                now >= *at + interval
-            };
-            if !is_due {
-                return None;
-            }
-        }
-        let is_released = self
-            .written
-            .as_ref()
-            .is_none_or(|(record, _)| record.demands.is_empty());
-        if demands.is_empty() && is_released {
-            self.written = None;
-            return None;
-        }
-        self.records += 1;
-        let record = DemandRecord {
-            incarnation: self.own.clone(),
-            number: self.records,
-            valid_ms: millis(interval * VALID_INTERVALS),
-            demands,
-        };
+        let limited: HashSet<&str> = self
+            .servers
+            .values()
+            .filter(|known| known.rate.is_some())
+            .map(|known| &*known.service)
+            .collect();
+        let is_limited = |service: &str| limited.contains(service);
+        let record = self
+            .own_demand
+            .due(&self.own, self.demands.len(), is_limited, now)?;
         self.demands.note_own(&record, now);
         self.expire_parts(now);
-        self.written = Some((record.clone(), now));
         Some(record)
     }
 
     /// When to look for a due record next; none while there is no demand.
     #[must_use]
     pub fn next_due(&self) -> Option<Boot> {
-        let (_, at) = self.written.as_ref()?;
-        Some(*at + RAISE_MIN)
-    }
-
-    fn renewal_interval(&self) -> Duration {
-        let count = u32::try_from(self.demands.len()).unwrap_or(u32::MAX);
-        let interval = APPEND_BUDGET.saturating_mul(count);
-        interval.clamp(RENEWAL_MIN, RENEWAL_MAX)
+        self.own_demand.next_due()
     }
 
     /// Number of server processes with a limit.
@@ -471,21 +385,6 @@
     }
 }
 
-/// Rounds a number of requests to a demand, which changes seldom: a change may take a second to
-/// have an effect at all instances.
-fn rounded_demand(count: u32, before: Option<u32>) -> u32 {
-    match before {
-        Some(before) if count <= before && count > before / (DEMAND_STEP * 2) => before,
-        _ => {
-            let mut demand = 1;
-            while demand < count {
-                demand *= DEMAND_STEP;
-            }
-            demand
-        }
-    }
-}
-
 impl ServerLimit {
     /// Sets the rate; a server that had no limit before gives no permits at first.
     fn set_rate(&mut self, rate: Option<f64>, now: Boot) {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod choose;
 pub mod crash;
+mod demand;
 pub mod limit;
 pub mod load;
 pub mod pool;
