--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -256,8 +256,8 @@
 /// Large batch jobs push the results of an earlier one out of the store before `statusS` is over.
 fn large_jobs_displace_results(journal: &Journal, trouble: bool) -> Verdict {
     /// Items of a large batch job, and the size of an item's body.
-    const ITEMS: usize = 108;
-    const BODY: usize = 130_000;
+    const ITEMS: usize = 4096;
+    const BODY: usize = 3_400;
     /// Two trainers submit a batch job each four seconds.
     const PACE: Duration = Duration::from_secs(2);
     let mut work = Deployment::new(journal, FIGURES)?;
@@ -336,11 +336,11 @@
         .map(|at| item(&format!("a{at}"), &format!("g{}", at / 8)))
         .collect();
     submit(&work, one.front, job, &submission(0, 1, 10, &items))?;
-    // Ids and groups are named by hashes of 64 hex digits; bodies have 200 bytes.
-    let count: u64 = if trouble { 16_384 } else { 4_096 };
+    // Ids and groups are named by hashes of 128 hex digits; bodies have 200 bytes.
+    let count: u64 = if trouble { 8_192 } else { 4_096 };
     let body = vec![b'p'; 200];
     let items: Vec<String> = (0..count)
-        .map(|at| item_with_body(&format!("{at:064x}"), &format!("{:064x}", at / 16), &body))
+        .map(|at| item_with_body(&format!("{at:0128x}"), &format!("{:0128x}", at / 16), &body))
         .collect();
     let large = submission(0, 1, 10, &items);
     journal.note(format!(
