Review case 13: a late second copy of a failure makes an item dead too early

The root of case 11 breaks another promise: a copy of a 500, read on the same connection as the answer to the item's next run, counts as another failure.

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -15,8 +15,8 @@
 use std::time::{Duration, Instant};
 
 use standin::{
-    Deployment, Engine, KEY, Link, Message, Record, SIGTERM, Wire, base64, connect, eventually,
-    exchange, full, misdirected, ms, register, send, serve, signed, stream_head, write_events,
+    Deployment, Engine, KEY, Link, Message, Record, Wire, base64, connect, eventually, exchange,
+    full, misdirected, ms, register, send, serve, signed, stream_head, write_events,
 };
 
 /// Limit on the time of a case.
@@ -43,9 +43,9 @@
     let play = move || match number.as_str() {
         "11" => late_refusals(&seen, trouble),
         "12" => cut_holder(&seen, trouble),
-        "13" => large_requests(&seen, trouble),
+        "13" => late_failures(&seen, trouble),
         "14" => many_items(&seen, trouble),
-        "15" => reward_calls(&seen, trouble),
+        "15" => unsigned_stream(&seen, trouble),
         other => panic!("no case {other:?}"),
     };
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(play));
@@ -166,31 +166,6 @@
 /// Entry of a model server: its weights.
 const MODELS: &str = ",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}]";
 
-/// Serves reports, orders and items on a connection of a model server.
-fn serve_items(
-    mut wire: Wire,
-    name: &str,
-    engine: &Engine,
-    record: &Record,
-    run: impl Fn(&Message, &mut Wire) -> bool,
-) {
-    while let Ok(request) = wire.read() {
-        let id = request.id();
-        let control = misdirected(&request, name).or_else(|| engine.control(&request));
-        let goes_on = match control {
-            Some(bytes) => answer(&mut wire, &bytes),
-            None => {
-                let last = request.header("last-event-id").unwrap_or("0").to_owned();
-                record.note(format!("{name} begins to run item {id} after event {last}"));
-                run(&request, &mut wire)
-            }
-        };
-        if !goes_on {
-            return;
-        }
-    }
-}
-
 /// Answers an item with a stream of events, one each `pause`; returns whether the caller has all.
 fn stream_item(
     request: &Message,
@@ -207,25 +182,9 @@
         && write_events(wire, last + 1, events, pause)
 }
 
-/// A batch job of one group whose items have a reward call each.
-fn job(step: u64, min_version: u64, items: &[&str], group: &str) -> Vec<u8> {
-    let items: Vec<(&str, String)> = items.iter().map(|id| (*id, group.to_owned())).collect();
-    job_of(step, min_version, 1, &items)
-}
-
 /// A batch job whose items, with their groups, have a reward call each.
 fn job_of(step: u64, min_version: u64, target: usize, items: &[(&str, String)]) -> Vec<u8> {
-    job_with(step, min_version, target, items, &base64(b"a prompt"))
-}
-
-/// Like [`job_of`], with the body of the items' requests in base64.
-fn job_with(
-    step: u64,
-    min_version: u64,
-    target: usize,
-    items: &[(&str, String)],
-    body: &str,
-) -> Vec<u8> {
+    let body = base64(b"a prompt");
     let items: Vec<String> = items
         .iter()
         .map(|(id, group)| {
@@ -567,105 +526,171 @@
 
 // Case 13
 
-/// Items of a large batch job, and the size of each item's request: 31 MB of JSON in all.
-const LARGE_ITEMS: usize = 56;
-const LARGE_BYTES: usize = 410_000;
-/// Time between two steps of a trainer.
-const STEP_TIME: Duration = Duration::from_millis(4000);
-/// Batch jobs of the trainer.
-const LARGE_STEPS: u64 = 12;
-/// Time for which a result is read again before it counts as lost; the site's `finishS`.
-const READ_TIME: Duration = Duration::from_secs(10);
-
-fn large_requests(record: &Record, trouble: bool) -> bool {
+/// Answers of status 500 to each failing item before it succeeds.
+const FAILURES: usize = 2;
+/// Rounds with a failing item.
+const FAILING_ROUNDS: usize = 4;
+/// Time from the start of a failing run to its answer.
+const FAILURE_TIME: Duration = Duration::from_millis(40);
+
+/// Model servers that fail some items. The first that does so may send some failures twice.
+struct Failing {
+    /// Answers of status 500, by item.
+    failures: Mutex<HashMap<String, usize>>,
+    /// The server that sends answers twice; none without the disruption.
+    faulty: Mutex<Option<&'static str>>,
+    /// Answers, by server.
+    answers: Mutex<HashMap<&'static str, usize>>,
+    garbled: AtomicUsize,
+}
+
+fn late_failures(record: &Record, trouble: bool) -> bool {
     let deployment = rounds_deployment();
+    let failing = Arc::new(Failing {
+        failures: Mutex::default(),
+        faulty: Mutex::default(),
+        answers: Mutex::default(),
+        garbled: AtomicUsize::default(),
+    });
     start_desk(&deployment);
     for name in ["i-model-1", "i-model-2"] {
-        let engine = Engine::new();
-        let address = serve(deployment.ip(3), move |mut wire| {
-            while let Ok(request) = wire.read() {
-                let control = misdirected(&request, name).or_else(|| engine.control(&request));
-                let goes_on = match control {
-                    Some(bytes) => answer(&mut wire, &bytes),
-                    None => stream_item(&request, &mut wire, name, &engine, (10, ms(10))),
-                };
-                if !goes_on {
-                    return;
-                }
-            }
+        let (failing, record, engine) = (Arc::clone(&failing), record.clone(), Engine::new());
+        let address = serve(deployment.ip(3), move |wire| {
+            failing.serve(wire, name, trouble, &engine, &record);
         });
         register(&deployment.store, name, address, "models", MODELS);
     }
     let instances = deployment.instances(3);
     let _ = leader_of(&instances);
-    let prompt = base64(&vec![b'p'; if trouble { LARGE_BYTES } else { 600 }]);
-    let mut first = Vec::new();
-    let began = Instant::now();
-    for step in 0..LARGE_STEPS {
-        let (due, lot) = (
-            began + STEP_TIME * u32::try_from(step).unwrap_or(0),
-            format!("a{step:03}"),
-        );
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        let names: Vec<String> = (0..LARGE_ITEMS)
-            .map(|at| format!("{step:02}{at:02}"))
-            .collect();
-        let items: Vec<(&str, String)> = names
-            .iter()
-            .enumerate()
-            .map(|(at, id)| (id.as_str(), format!("{lot}-{}", at / 8)))
-            .collect();
-        let body = job_with(step, 0, LARGE_ITEMS / 8, &items, &prompt);
-        let front = instances[step as usize % 3].front;
-        let reply = send(front, "POST", "/rounds/one", &lot, &body).expect("an answer");
-        record.note(format!(
-            "trainer has the answer to batch job {lot}, {} bytes: {}",
-            body.len(),
-            reply.status()
-        ));
-        drop(body);
-        if reply.status() != 202 {
-            continue;
-        }
-        let results = read_all(record, front, &lot, LARGE_ITEMS);
-        if step == 0 {
-            assert_eq!(results.len(), LARGE_ITEMS, "the first batch job is served");
-            first = results;
+    let front = instances[0].front;
+
+    // A round of sound items first, then rounds of one group that has one failing item.
+    let names: Vec<String> = (0..160).map(|at| format!("a{at:03}")).collect();
+    let first = submit_groups(record, front, "a0a0", 0, &names, 8);
+    read_all(record, front, "a0a0", first);
+    let mut broken = false;
+    for round in 0..FAILING_ROUNDS {
+        let lot = format!("b{round:03}");
+        let mut names: Vec<String> = (0..7).map(|at| format!("e{round:02}{at}")).collect();
+        names.push(format!("f{round:02}0"));
+        let count = submit_groups(record, front, &lot, 1, &names, 8);
+        for (id, state) in read_all(record, front, &lot, count) {
+            let failures = failing.failures_of(&id);
+            if state == "dead" && failures < 3 {
+                record.note(format!(
+                    "MIXED: item {id} is dead after {failures} answers of 500"
+                ));
+                broken = true;
+            }
         }
     }
     record.note(format!(
-        "{:?} after the first batch job was submitted, its results are read again",
-        began.elapsed()
+        "answers by server: {:?}; {:?} sent {} of its answers twice",
+        failing.answers.lock().unwrap(),
+        failing.faulty.lock().unwrap(),
+        failing.garbled.load(Ordering::SeqCst)
     ));
-    let deadline = Instant::now() + READ_TIME;
-    let mut statuses: HashMap<u16, usize> = HashMap::new();
-    let mut again = Vec::new();
-    while again != first && Instant::now() < deadline {
-        for instance in &instances {
-            let reply = send(instance.front, "GET", "/lots/a000?after=0", "", b"");
-            *statuses
-                .entry(reply.map_or(0, |reply| reply.status()))
-                .or_default() += 1;
-            again = read_results(instance.front, "a000");
-            if again == first {
-                break;
+    broken
+}
+
+impl Failing {
+    /// Whether a server sends this failure twice.
+    fn garbles(&self, name: &'static str) -> bool {
+        if *self.faulty.lock().unwrap().get_or_insert(name) != name {
+            return false;
+        }
+        let answers = self.answers.lock().unwrap()[name] as f64;
+        let garbled = self.garbled.load(Ordering::SeqCst) as f64;
+        let due = garbled + 1.0 <= answers * GARBLED_SHARE;
+        if due {
+            self.garbled.fetch_add(1, Ordering::SeqCst);
+        }
+        due
+    }
+
+    fn serve(
+        &self,
+        mut wire: Wire,
+        name: &'static str,
+        trouble: bool,
+        engine: &Engine,
+        record: &Record,
+    ) {
+        // The second copy of an answer, which is sent when the next request has come.
+        let mut copy: Option<Vec<u8>> = None;
+        while let Ok(request) = wire.read() {
+            let id = request.id();
+            if let Some(copy) = copy.take() {
+                record.note(format!(
+                    "{name} sends its answer before once more, as {id} comes"
+                ));
+                if !answer(&mut wire, &copy) {
+                    return;
+                }
+            }
+            let control = misdirected(&request, name).or_else(|| engine.control(&request));
+            if let Some(bytes) = control {
+                if !answer(&mut wire, &bytes) {
+                    return;
+                }
+                continue;
+            }
+            *self.answers.lock().unwrap().entry(name).or_default() += 1;
+            if id.starts_with('f') && self.failures_of(&id) < FAILURES {
+                record.note(format!("{name} begins to run item {id}"));
+                thread::sleep(FAILURE_TIME);
+                *self.failures.lock().unwrap().entry(id.clone()).or_default() += 1;
+                record.note(format!("{name} answers item {id} with 500"));
+                let failure = signed(500, &request, name, b"");
+                if !answer(&mut wire, &failure) {
+                    return;
+                }
+                if trouble && self.garbles(name) {
+                    copy = Some(failure);
+                }
+                continue;
+            }
+            if id.starts_with('f') {
+                record.note(format!(
+                    "{name} begins to run item {id}, which will succeed"
+                ));
+            }
+            if !stream_item(&request, &mut wire, name, engine, (8, ms(30))) {
+                if id.starts_with('f') {
+                    record.note(format!("{name} sees the connection of item {id} closed"));
+                }
+                return;
             }
         }
-        thread::sleep(ms(500));
     }
-    record.note(format!(
-        "answers to reads of a000 at three machines, by status: {statuses:?}"
-    ));
-    if again == first {
-        record.note("all results of a000 came again");
-        return false;
+
+    fn failures_of(&self, id: &str) -> usize {
+        self.failures.lock().unwrap().get(id).copied().unwrap_or(0)
     }
+}
+
+/// Submits a batch job with groups of `size` items; returns their number.
+fn submit_groups(
+    record: &Record,
+    front: std::net::SocketAddr,
+    lot: &str,
+    step: u64,
+    names: &[String],
+    size: usize,
+) -> usize {
+    let items: Vec<(&str, String)> = names
+        .iter()
+        .enumerate()
+        .map(|(at, name)| (name.as_str(), format!("{lot}-{}", at / size)))
+        .collect();
+    let body = job_of(step, 0, names.len() / size, &items);
+    let reply = send(front, "POST", "/rounds/one", lot, &body).expect("an answer");
     record.note(format!(
-        "LOST: {} of {} results of a000 came again",
-        again.len(),
-        first.len()
+        "trainer has the answer to batch job {lot}: {}",
+        reply.status()
     ));
-    true
+    assert_eq!(reply.status(), 202);
+    names.len()
 }
 
 // Case 14
@@ -824,119 +849,104 @@
 
 // Case 15
 
-/// The site's bound: an item or reward call may reach a server for so long after the end.
-const CANCEL_TIME: Duration = Duration::from_millis(3000);
-/// The site's bound: a machine is in touch once it has been without disruption for so long.
-const CONTACT_TIME: Duration = Duration::from_millis(3000);
-/// Time from the end of the batch job for which the plain servers stay full.
-const BUSY_TIME: Duration = Duration::from_millis(3400);
+/// Streams that the client asks for.
+const STREAMS: usize = 240;
+/// Clients that ask for them at the same time.
+const CLIENTS: usize = 6;
+/// Share of its answers that the faulty server spoils; the largest dose of the site is 0.03.
+const SPOILED_SHARE: f64 = 0.025;
 
-fn reward_calls(record: &Record, trouble: bool) -> bool {
-    let routes = [
-        route(
-            "rounds",
-            "rollout",
-            "models",
-            ",\"resultDueMs\":7500,\"retentionS\":40",
-        ),
-        route("sync", "idempotent", "desk", ",\"public\":true").replacen(
-            ",\"public\":false",
-            "",
-            1,
-        ),
-    ];
+fn unsigned_stream(record: &Record, trouble: bool) -> bool {
+    let routes = route("drafts", "non_idempotent", "models", ",\"streaming\":true");
     let models = service("models", ",\"engine\":{\"models\":[{\"name\":\"m0\"}]}");
-    let deployment = Deployment::start(&routes.join(","), &[models, service("desk", "")].join(","));
-    let is_full = Arc::new(AtomicBool::new(true));
-    let calls: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
-    let texts = Arc::new(AtomicUsize::default());
-    for name in ["i-desk-1", "i-desk-2"] {
-        let (is_full, calls, record) = (Arc::clone(&is_full), Arc::clone(&calls), record.clone());
-        let address = serve(deployment.ip(2), move |mut wire| {
+    let deployment = Deployment::start(&routes, &models);
+    let answers = Arc::new(AtomicUsize::default());
+    let spoiled = Arc::new(AtomicUsize::default());
+    for name in ["i-model-1", "i-model-2"] {
+        let (record, engine) = (record.clone(), Engine::new());
+        let (answers, spoiled) = (Arc::clone(&answers), Arc::clone(&spoiled));
+        let faulty = trouble && name == "i-model-1";
+        let address = serve(deployment.ip(3), move |mut wire| {
             while let Ok(request) = wire.read() {
-                let id = request.id();
-                let bytes = if let Some(other) = misdirected(&request, name) {
-                    other
-                } else if is_full.load(Ordering::SeqCst) {
-                    full(&request)
-                } else {
-                    record.note(format!("{name} begins to run reward call {id}"));
-                    calls.lock().unwrap().push((Instant::now(), id));
-                    thread::sleep(ms(30));
-                    signed(200, &request, name, b"0.5")
-                };
-                if !answer(&mut wire, &bytes) {
+                let control = misdirected(&request, name).or_else(|| engine.control(&request));
+                if let Some(bytes) = control {
+                    if !answer(&mut wire, &bytes) {
+                        return;
+                    }
+                    continue;
+                }
+                let mut head = stream_head(&request, name, engine.version());
+                if faulty {
+                    let count = answers.fetch_add(1, Ordering::SeqCst) as f64 + 1.0;
+                    let before = spoiled.load(Ordering::SeqCst) as f64;
+                    if before + 1.0 <= count * SPOILED_SHARE {
+                        spoiled.fetch_add(1, Ordering::SeqCst);
+                        record.note(format!("{name} answers {} without its stamp", request.id()));
+                        let text = String::from_utf8(head).expect("text");
+                        let lines = text.split_inclusive("\r\n");
+                        let kept = lines.filter(|line| !line.starts_with("Basillead-Server-Stamp"));
+                        head = kept.collect::<String>().into_bytes();
+                    }
+                }
+                if !answer(&mut wire, &head) || !write_events(&mut wire, 1, 3, ms(3)) {
                     return;
                 }
             }
         });
-        register(&deployment.store, name, address, "desk", "");
-    }
-    for name in ["i-model-1", "i-model-2"] {
-        let (engine, texts, record) = (Engine::new(), Arc::clone(&texts), record.clone());
-        let address = serve(deployment.ip(3), move |wire| {
-            serve_items(wire, name, &engine, &record, |request, wire| {
-                let done = stream_item(request, wire, name, &engine, (10, ms(30)));
-                texts.fetch_add(usize::from(done), Ordering::SeqCst);
-                done
-            });
-        });
         register(&deployment.store, name, address, "models", MODELS);
     }
-    let instances = deployment.instances(3);
-    let leader = leader_of(&instances);
-    let (stopped, other) = (&instances[leader], &instances[(leader + 1) % 3]);
+    let instances = deployment.instances(2);
+    thread::sleep(ms(1500));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (front, record) = (instances[client % 2].front, record.clone());
+            thread::spawn(move || ask_for_streams(&record, front, client))
+        })
+        .collect();
+    let mut broken = false;
+    let mut whole = 0;
+    for client in clients {
+        let (signed, unsigned) = client.join().expect("a client");
+        whole += signed;
+        broken |= unsigned > 0;
+    }
     record.note(format!(
-        "{} leads the service of the model servers",
-        stopped.name
+        "{whole} of {STREAMS} streams came whole and signed"
     ));
-
-    let items = ["c1", "c2", "c3", "c4"];
-    let reply = send(
-        other.front,
-        "POST",
-        "/rounds/one",
-        "a5a5",
-        &job(0, 1, &items, "g1"),
-    );
-    let accepted = reply.expect("an answer").status();
     record.note(format!(
-        "trainer has the answer to batch job a5a5: {accepted}"
+        "the faulty server spoiled {} of {} answers",
+        spoiled.load(Ordering::SeqCst),
+        answers.load(Ordering::SeqCst)
     ));
-    assert_eq!(accepted, 202);
-    eventually("the texts are complete", || {
-        texts.load(Ordering::SeqCst) >= items.len()
-    });
-    thread::sleep(ms(300));
-    record.note("the model servers have made all texts; the plain servers are full");
+    broken
+}
 
-    let stopped_at = Instant::now();
-    if trouble {
-        record.note(format!("{} gets SIGTERM", stopped.name));
-        stopped.signal(SIGTERM);
-    }
-    thread::sleep(ms(500));
-    let reply = send(other.front, "DELETE", "/lots/a5a5", "", b"").expect("an answer");
-    let ended_at = Instant::now();
-    record.note(format!(
-        "trainer has the answer to the end of batch job a5a5: {}",
-        reply.status()
-    ));
-    assert_eq!(reply.status(), 200);
-    thread::sleep(BUSY_TIME);
-    record.note("the plain servers have room again");
-    is_full.store(false, Ordering::SeqCst);
-    thread::sleep(ms(3000));
-    let mut broken = false;
-    for (at, id) in calls.lock().unwrap().iter() {
-        let late = at.duration_since(ended_at);
-        let in_touch = !trouble || at.duration_since(stopped_at) > CONTACT_TIME;
-        if late > CANCEL_TIME && in_touch {
+/// Asks for a client's share of the streams; returns how many successes were signed, and were not.
+fn ask_for_streams(record: &Record, front: std::net::SocketAddr, client: usize) -> (usize, usize) {
+    let (mut signed, mut unsigned) = (0, 0);
+    for number in 0..STREAMS / CLIENTS {
+        let id = format!("a{client}{number:03}");
+        let Ok(reply) = send(front, "POST", "/drafts/one", &id, b"?") else {
+            record.note(format!("client's stream {id} breaks off"));
+            continue;
+        };
+        let (status, has_stamp) = (
+            reply.status(),
+            reply.header("basillead-server-stamp").is_some(),
+        );
+        if status == 200 && has_stamp {
+            signed += 1;
+            continue;
+        }
+        record.note(format!(
+            "client has the answer to {id}: {status}, with a stamp: {has_stamp}"
+        ));
+        if (200..300).contains(&status) {
             record.note(format!(
-                "UNASKED: reward call {id} ran {late:?} after the end"
+                "MIXED: the client got a success to {id} without a stamp"
             ));
-            broken = true;
+            unsigned += 1;
         }
     }
-    broken
+    (signed, unsigned)
 }
