--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -1,4 +1,5 @@
-//! The cases of the third review that are scripts: `cases NUMBER` plays one.
+//! The cases of the third review that are scripts: `cases NUMBER RECORD with|without` plays one, with
+//! the disruption or without it, and writes what happened to the file RECORD.
 //!
 //! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
@@ -24,7 +25,14 @@
 
 fn main() -> ExitCode {
     let number = std::env::args().nth(1).unwrap_or_default();
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = match std::env::args().nth(3).as_deref() {
+        Some("with") => true,
+        Some("without") => false,
+        _ => {
+            eprintln!("usage: cases NUMBER RECORD with|without");
+            return ExitCode::from(2);
+        }
+    };
     thread::spawn(|| {
         thread::sleep(CASE_LIMIT);
         eprintln!("the case took too long");
