Never send an id again on a connection that has carried it

Cause: a faulty server sends an answer a second time when the next one on the connection is expected. Answers are told apart by the request's id, which all sends of an item share, and the pool handed out the connection that the first send had used. The late copy of a 500 counted as the failure of the run that had just begun.

Evidence: in late_copy_of_an_items_failure the server counts two failures and the instance three. Counting a failure twice was ruled out: without the copies nothing fails.

Change: a connection remembers the ids it has carried and is not used for one of them again, also after other requests. The event connection says whether a repeat opened it.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -217,7 +217,7 @@
 ) -> Result<PendingResponse, CallError> {
     ensure!(shared.takes_requests(backend), UnusableSnafu);
     ensure!(shared.has_permit(backend), LimitedSnafu);
-    let connection = checkout(shared, backend).await?;
+    let connection = checkout(shared, backend, added_headers.id).await?;
     // The server may have begun to drain while the connection was opened.
     if !shared.takes_requests(backend) {
         connection.return_to_pool();
@@ -226,9 +226,13 @@
     send_on(connection, shared, backend, outgoing, added_headers).await
 }
 
-async fn checkout(shared: &Shared, backend: &Backend) -> Result<PooledConnection, CallError> {
+async fn checkout(
+    shared: &Shared,
+    backend: &Backend,
+    id: Option<&str>,
+) -> Result<PooledConnection, CallError> {
     let limit = shared.connections(&backend.service);
-    let connection = shared.pool.checkout(backend, limit).await;
+    let connection = shared.pool.checkout(backend, id, limit).await;
     connection.context(UnsentSnafu)
 }
 
@@ -271,6 +275,9 @@
     let sent = unix_ms();
     let sent_at = Boot::now();
     connection.announcements.count_for(&mut request);
+    if let Some(id) = added_headers.id {
+        connection.carried.add(id);
+    }
     let answer = sender.send_request(request).await;
     let answer = answer.context(BrokenSnafu { link })?;
     let (head, body) = answer.into_parts();
@@ -374,7 +381,7 @@
     limit: Duration,
 ) -> Result<FullResponse, CallError> {
     let call = async {
-        let connection = checkout(shared, backend).await?;
+        let connection = checkout(shared, backend, added_headers.id).await?;
         let pending = send_on(connection, shared, backend, outgoing, added_headers).await?;
         read_body(shared, pending).await
     };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -1,6 +1,7 @@
 //! Sends requests to backend servers: connections, single calls, and calls with retries.
 
 pub mod call;
+pub mod carried;
 pub mod choose;
 pub mod crash;
 mod demand;
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -12,10 +12,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use snafu::{OptionExt as _, ResultExt as _, Snafu};
+use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::carried::CarriedIds;
 use super::choose::Link;
 use crate::boot::Boot;
 use crate::http::announcements::{Announcements, CheckedStream, READ_BUFFER_BYTES};
@@ -85,6 +86,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     announcements: Announcements,
+    carried: CarriedIds,
     opened: Boot,
     expires: Boot,
 }
@@ -121,6 +123,8 @@
     pub sender: Option<SendRequest<Full<Bytes>>>,
     /// Counts the announcements of a response.
     pub announcements: Announcements,
+    /// The requests that were sent on the connection.
+    pub carried: CarriedIds,
     /// When the connection was opened.
     pub opened: Boot,
     /// Whether the connection was reused or new.
@@ -155,7 +159,7 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if sender.is_closed() || self.idle_limit.is_zero() {
+        if sender.is_closed() || self.idle_limit.is_zero() || self.carried.is_full() {
             self.release();
             return;
         }
@@ -168,6 +172,7 @@
             .push(IdleConnection {
                 sender,
                 announcements: self.announcements.clone(),
+                carried: std::mem::take(&mut self.carried),
                 opened: self.opened,
                 expires,
             });
@@ -199,20 +204,25 @@
 
     /// Takes an idle connection to a backend server, or opens a new one.
     ///
+    /// The connection has not carried a request with this id before: a late copy of that request's
+    /// answer would be taken for the answer to this one.
+    ///
     /// # Errors
     /// [`PoolError`] if no connection is available; nothing was sent.
     pub async fn checkout(
         &self,
         backend: &Backend,
+        id: Option<&str>,
         limit: usize,
     ) -> Result<PooledConnection, PoolError> {
         let key = ServerKey::of(backend);
-        if let Some(idle) = self.take_idle(&key) {
+        if let Some(idle) = self.take_idle(&key, id) {
             return Ok(PooledConnection {
                 pool: self.clone(),
                 key,
                 sender: Some(idle.sender),
                 announcements: idle.announcements,
+                carried: idle.carried,
                 opened: idle.opened,
                 link: Link::Reused,
                 idle_limit: IDLE_DEFAULT,
@@ -228,14 +238,9 @@
         limit: usize,
     ) -> Result<PooledConnection, PoolError> {
         let key = ServerKey::of(backend);
-        if self
-            .servers
-            .borrow()
-            .get(&key)
-            .is_some_and(|server| server.open >= limit)
-        {
-            return ExhaustedSnafu.fail();
-        }
+        // Idle connections are left only if each has carried the id of the request at hand.
+        let is_repeat = self.idle(&key) > 0;
+        ensure!(self.make_room(&key, limit), ExhaustedSnafu);
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(key.address)).await;
         let stream = stream
             .ok()
@@ -254,7 +259,8 @@
             // The sender returns the same error.
             let _ = connection.await;
         });
-        event!("connection", "server" => backend.id, "service" => backend.service);
+        event!("connection", "server" => backend.id, "service" => backend.service,
+            "repeat" => is_repeat);
         self.opened.set(self.opened.get() + 1);
         self.servers
             .borrow_mut()
@@ -266,6 +272,7 @@
             key,
             sender: Some(sender),
             announcements,
+            carried: CarriedIds::default(),
             opened,
             link: Link::New,
             idle_limit: IDLE_DEFAULT,
@@ -301,18 +308,41 @@
         }
     }
 
-    /// Takes a usable idle connection and discards expired ones on the way.
-    fn take_idle(&self, key: &ServerKey) -> Option<IdleConnection> {
+    /// Takes the most recently used idle connection that may carry this id, and discards unusable
+    /// ones.
+    fn take_idle(&self, key: &ServerKey, id: Option<&str>) -> Option<IdleConnection> {
         let mut servers = self.servers.borrow_mut();
         let server = servers.get_mut(key)?;
         let now = Boot::now();
-        while let Some(idle) = server.idle.pop() {
-            if idle.expires > now && idle.sender.is_ready() {
-                return Some(idle);
-            }
-            server.open = server.open.saturating_sub(1);
+        let before = server.idle.len();
+        server
+            .idle
+            .retain(|idle| idle.expires > now && idle.sender.is_ready());
+        server.open = server.open.saturating_sub(before - server.idle.len());
+        let admits = |idle: &IdleConnection| id.is_none_or(|id| idle.carried.admits(id));
+        let at = server.idle.iter().rposition(admits)?;
+        Some(server.idle.remove(at))
+    }
+
+    /// Whether another connection to a server may be opened, if need be in place of an idle one
+    /// that is of no use to the request at hand.
+    fn make_room(&self, key: &ServerKey, limit: usize) -> bool {
+        let mut servers = self.servers.borrow_mut();
+        let Some(server) = servers.get_mut(key).filter(|server| server.open >= limit) else {
+            return true;
+        };
+        if server.open > limit || server.idle.is_empty() {
+            return false;
         }
-        None
+        server.idle.remove(0);
+        server.open -= 1;
+        true
+    }
+
+    /// Number of idle connections to a server.
+    fn idle(&self, key: &ServerKey) -> usize {
+        let servers = self.servers.borrow();
+        servers.get(key).map_or(0, |server| server.idle.len())
     }
 
     /// Closes idle connections to servers that are no longer live.
--- a/tests/instance/main.rs
+++ b/tests/instance/main.rs
@@ -1,6 +1,7 @@
 //! Tests of an instance's decisions, without sockets.
 
 mod admit;
+mod carried;
 mod crashes;
 mod drafts;
 mod event_boundary;
