Accept an answer without an id only where no earlier one can be meant

An answer to a request was also accepted as that to an instance's own report or order, and a limit was read from answers that belong to no request at hand.

Change: what a connection has carried decides whether an answer belongs to the request. One without an id is accepted if no earlier answer had none, and the connection is not used again.

--- a/src/relay/call.rs
+++ b/src/relay/call.rs
@@ -275,9 +275,7 @@
     let sent = unix_ms();
     let sent_at = Boot::now();
     connection.announcements.count_for(&mut request);
-    if let Some(id) = added_headers.id {
-        connection.carried.add(id);
-    }
+    connection.carried.add_request(added_headers.id);
     let answer = sender.send_request(request).await;
     let answer = answer.context(BrokenSnafu { link })?;
     let (head, body) = answer.into_parts();
@@ -290,12 +288,18 @@
     if reply.leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
         shared.note_leaving(backend, added_headers.id, sent);
     }
-    if let Some(stated) = stated_limit(&reply, head.status, added_headers.id) {
-        shared.note_limit(backend, added_headers.id, stated, sent_at);
-    }
-    if has_wrong_id(&reply, head.status, added_headers.id) {
+    let (id, echoed) = (added_headers.id, reply.id.as_deref());
+    if !connection
+        .carried
+        .is_answer(id, echoed, status.is_success())
+    {
         return WrongIdSnafu.fail();
     }
+    connection.carried.add_answer(id, echoed);
+    // A late copy of an earlier answer would tell a limit of the past.
+    if let Some(stated) = stated_limit(&reply, status, id) {
+        shared.note_limit(backend, id, stated, sent_at);
+    }
     Ok(PendingResponse {
         reply,
         head,
@@ -313,10 +317,7 @@
     status: StatusCode,
     id: Option<&str>,
 ) -> Option<StatedLimit> {
-    let shows_none = id.is_some()
-        && status.is_success()
-        && reply.signature.is_some()
-        && !has_wrong_id(reply, status, id);
+    let shows_none = id.is_some() && status.is_success() && reply.signature.is_some();
     match reply.limit {
         _ if status == StatusCode::MISDIRECTED_REQUEST => None,
         StatedLimit::None if !shows_none => None,
@@ -324,17 +325,6 @@
     }
 }
 
-/// Whether a response does not belong to the request `id`.
-///
-/// A success must repeat the id; another response may omit it.
-fn has_wrong_id(reply: &UpstreamReply, status: StatusCode, id: Option<&str>) -> bool {
-    match (id, reply.id.as_deref()) {
-        (None, _) => false,
-        (Some(id), Some(echoed)) => id != echoed,
-        (Some(_), None) => status.is_success(),
-    }
-}
-
 /// Reads the response body and returns the connection to the pool.
 ///
 /// # Errors
--- a/src/relay/pool.rs
+++ b/src/relay/pool.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::carried::CarriedIds;
+use super::carried::Carried;
 use super::choose::Link;
 use crate::boot::Boot;
 use crate::http::announcements::{Announcements, CheckedStream, READ_BUFFER_BYTES};
@@ -86,7 +86,7 @@
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     announcements: Announcements,
-    carried: CarriedIds,
+    carried: Carried,
     opened: Boot,
     expires: Boot,
 }
@@ -124,7 +124,7 @@
     /// Counts the announcements of a response.
     pub announcements: Announcements,
     /// The requests that were sent on the connection.
-    pub carried: CarriedIds,
+    pub carried: Carried,
     /// When the connection was opened.
     pub opened: Boot,
     /// Whether the connection was reused or new.
@@ -159,7 +159,7 @@
         let Some(sender) = self.sender.take() else {
             return;
         };
-        if sender.is_closed() || self.idle_limit.is_zero() || self.carried.is_full() {
+        if sender.is_closed() || self.idle_limit.is_zero() || !self.carried.is_reusable() {
             self.release();
             return;
         }
@@ -272,7 +272,7 @@
             key,
             sender: Some(sender),
             announcements,
-            carried: CarriedIds::default(),
+            carried: Carried::default(),
             opened,
             link: Link::New,
             idle_limit: IDLE_DEFAULT,
@@ -319,7 +319,7 @@
             .idle
             .retain(|idle| idle.expires > now && idle.sender.is_ready());
         server.open = server.open.saturating_sub(before - server.idle.len());
-        let admits = |idle: &IdleConnection| id.is_none_or(|id| idle.carried.admits(id));
+        let admits = |idle: &IdleConnection| idle.carried.admits(id);
         let at = server.idle.iter().rposition(admits)?;
         Some(server.idle.remove(at))
     }
