Pass on no stream without its server's signature

Cause: the signature was checked where whole answers, samples and scores are accepted, but not where a stream is relayed.

Change: a success without a signature is no answer: 502, as the request may have run.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -159,6 +159,30 @@
     Err(Box::new(retry_later(wait)))
 }
 
+/// Decides from an answer's head whether the answer is passed on, and records the origin of a
+/// stream that can be taken up.
+///
+/// # Errors
+/// The answer for the caller if the server's one doesn't count.
+async fn accept(
+    shared: &Rc<Shared>,
+    id: &str,
+    resumable: bool,
+    origin: Option<&(&str, Origin)>,
+    backend: &Rc<Backend>,
+    pending: &call::PendingResponse,
+) -> Result<RecordedSlot, Box<Response<Body>>> {
+    let is_success = pending.head.status.is_success();
+    if is_success && pending.reply.signature.is_none() {
+        event!("unsigned_answer", "id" => id, "server" => backend.id);
+        return Err(Box::new(status(StatusCode::BAD_GATEWAY)));
+    }
+    if !resumable || !is_success {
+        return Ok(RecordedSlot::default());
+    }
+    record(shared, id, origin, backend, pending.connection.opened).await
+}
+
 /// Records where a stream began that a server's answer begins or goes on with.
 ///
 /// # Errors
@@ -289,15 +313,10 @@
         if let Some(tenant) = admitted.tenant.as_deref() {
             shared.count_usage(tenant, began);
         }
-        let has_begun = resumable && pending.head.status.is_success();
-        let opened = pending.connection.opened;
-        let recorded = if has_begun {
-            match record(shared, id, origin.as_ref(), &backend, opened).await {
-                Ok(recorded) => recorded,
-                Err(refusal) => return *refusal,
-            }
-        } else {
-            RecordedSlot::default()
+        let accepted = accept(shared, id, resumable, origin.as_ref(), &backend, &pending).await;
+        let recorded = match accepted {
+            Ok(recorded) => recorded,
+            Err(refusal) => return *refusal,
         };
         let watch = StreamWatch {
             shared: Rc::clone(shared),
