--- a/src/duty/mod.rs
+++ b/src/duty/mod.rs
@@ -7,4 +7,4 @@
 use std::time::Duration;
 
 /// Timeout of a duty's call to the platform.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(900);
